Serve one job end to end through a three-voter cell

Cause: there was no product yet. Change: replicated log, ledger, policies, node, HTTP edge, daemon and stand-in targets, thin but whole: a job is handed in through any instance, placed through the log, run by a target under a lease, and answered.

--- /dev/null
+++ b/cmd/jasmined/main.go
@@ -0,0 +1,100 @@
+// Command jasmined runs one instance of a cell.
+//
+// It exits with 0 after a graceful shutdown, 1 when the instance failed, and
+// 2 when its settings are wrong.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/config"
+	"github.com/jasmineward/jasmineward/internal/daemon"
+)
+
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	path := flag.String("config", "", "settings file, in TOML")
+	check := flag.Bool("check", false, "check the settings and exit")
+	show := flag.Bool("print-config", false, "print the effective settings and exit")
+	form := flag.Bool("form-cell", false, "form a new cell, of which this instance is the first")
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "jasmined: -config FILE is needed, and nothing but flags")
+		flag.Usage()
+		return exitSettings
+	}
+	settings, err := config.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	switch {
+	case *check:
+		fmt.Println("settings are sound")
+		return exitOK
+	case *show:
+		return printSettings(settings)
+	}
+	return serve(settings, *form)
+}
+
+func printSettings(settings config.Settings) int {
+	text, err := settings.Print()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	fmt.Print(text)
+	return exitOK
+}
+
+func serve(settings config.Settings, form bool) int {
+	log := newLogger(settings.Log)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := daemon.Start(settings, form, log)
+	if err != nil {
+		log.Errorf("daemon: %s", err)
+		return exitFailed
+	}
+	log.Infof("daemon: started name=%s callers=%s targets=%s operators=%s peers=%s",
+		settings.Name, d.Callers(), d.Targets(), d.Operators(), d.Node().Address())
+	select {
+	case <-signals:
+	case <-d.Failed():
+		log.Errorf("daemon: replica failed: %s", d.Node().Err())
+		d.Kill()
+		return exitFailed
+	}
+	if err := d.Shutdown(); err != nil {
+		log.Errorf("daemon: %s", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLogger(output config.LogOutput) *logrus.Logger {
+	log := logrus.New()
+	if level, err := logrus.ParseLevel(output.Level); err == nil {
+		log.SetLevel(level)
+	}
+	if output.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,197 @@
+// Package config reads the settings of an instance from a TOML file and
+// checks all of them before anything starts.
+package config
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/jasmineward/jasmineward/internal/entry"
+	"github.com/jasmineward/jasmineward/internal/ledger"
+	"github.com/jasmineward/jasmineward/internal/node"
+	"github.com/jasmineward/jasmineward/internal/note"
+	"github.com/jasmineward/jasmineward/pkg/lease"
+)
+
+// Duration is a time written with its unit, such as "500ms".
+type Duration = note.Duration
+
+// Settings are the settings of an instance.
+type Settings struct {
+	Name       string    `toml:"name"`
+	Domain     string    `toml:"failure-domain"`
+	DataFolder string    `toml:"data-folder"`
+	Voters     int       `toml:"voters"`
+	Peers      Peers     `toml:"peers"`
+	Callers    Endpoint  `toml:"callers"`
+	Targets    Endpoint  `toml:"targets"`
+	Operators  Endpoint  `toml:"operators"`
+	Timing     Timing    `toml:"timing"`
+	Limits     Limits    `toml:"limits"`
+	Log        LogOutput `toml:"log"`
+}
+
+// Peers is how instances reach each other.
+type Peers struct {
+	Listen      string   `toml:"listen"`
+	Advertise   string   `toml:"advertise"`
+	Addresses   []string `toml:"addresses"`
+	Certificate string   `toml:"certificate"`
+	Key         string   `toml:"key"`
+	Authority   string   `toml:"authority"`
+}
+
+// Endpoint is one HTTP listener.
+type Endpoint struct {
+	Listen      string `toml:"listen"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	TokenFile   string `toml:"token-file"`
+}
+
+// Timing holds the times of an instance. All instances of a cell must have
+// the same lease-ttl, lease-margin, election and heartbeat.
+type Timing struct {
+	Election     Duration `toml:"election"`
+	Heartbeat    Duration `toml:"heartbeat"`
+	LeaseTTL     Duration `toml:"lease-ttl"`
+	LeaseMargin  Duration `toml:"lease-margin"`
+	Fresh        Duration `toml:"configuration-fresh"`
+	Replace      Duration `toml:"replace-voter-after"`
+	DrainAfter   Duration `toml:"drain-after"`
+	HoldGang     Duration `toml:"hold-gang"`
+	Grace        Duration `toml:"never-fits-grace"`
+	BalancerWait Duration `toml:"balancer-wait"`
+	ShutdownWait Duration `toml:"shutdown-wait"`
+}
+
+// Limits bounds what each HTTP listener takes.
+type Limits struct {
+	Connections int      `toml:"connections"`
+	Requests    int      `toml:"requests"`
+	HeaderBytes int      `toml:"header-bytes"`
+	BodyBytes   int64    `toml:"body-bytes"`
+	HeaderTime  Duration `toml:"header-time"`
+	BodyTime    Duration `toml:"body-time"`
+	IdleTime    Duration `toml:"idle-time"`
+}
+
+// LogOutput says what is logged and how.
+type LogOutput struct {
+	Level  string `toml:"level"`
+	Format string `toml:"format"`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	timing := node.DefaultTiming()
+	limits := entry.DefaultLimits()
+	return Settings{
+		Voters: 3,
+		Timing: Timing{
+			Election:     Duration(timing.Election),
+			Heartbeat:    Duration(timing.Heartbeat),
+			LeaseTTL:     Duration(timing.Lease.TTL),
+			LeaseMargin:  Duration(timing.Lease.Margin),
+			Fresh:        Duration(timing.Fresh),
+			Replace:      Duration(timing.Replace),
+			DrainAfter:   Duration(timing.DrainAfter),
+			HoldGang:     Duration(timing.HoldGang),
+			Grace:        Duration(timing.Grace),
+			BalancerWait: Duration(time.Second),
+			ShutdownWait: Duration(30 * time.Second),
+		},
+		Limits: Limits{
+			Connections: limits.Connections,
+			Requests:    limits.Requests,
+			HeaderBytes: limits.HeaderBytes,
+			BodyBytes:   limits.BodyBytes,
+			HeaderTime:  Duration(limits.Header),
+			BodyTime:    Duration(limits.Body),
+			IdleTime:    Duration(limits.Idle),
+		},
+		Log: LogOutput{
+			Level:  "info",
+			Format: "text",
+		},
+	}
+}
+
+// Load reads and checks a file. What is wrong with it comes back as a
+// FaultsError that lists everything.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks the content of a file of the given name.
+func Parse(path string, data []byte) (Settings, error) {
+	settings := Default()
+	decoder := toml.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	faults := &FaultsError{File: path}
+	faults.addDecode(decoder.Decode(&settings))
+	if len(faults.Faults) == 0 || faults.onlyUnknown {
+		check(settings, newLines(data), faults)
+	}
+	if len(faults.Faults) > 0 {
+		return Settings{}, faults
+	}
+	return settings, nil
+}
+
+// Print returns the settings as a file would hold them.
+func (s Settings) Print() (string, error) {
+	data, err := toml.Marshal(s)
+	if err != nil {
+		return string(data), errors.Wrap(err, "print settings")
+	}
+	return string(data), nil
+}
+
+// Node returns what a node is set up with, but for its certificates.
+func (s Settings) Node() node.Config {
+	return node.Config{
+		Name:       s.Name,
+		Domain:     s.Domain,
+		Listen:     s.Peers.Listen,
+		Advertise:  s.Peers.Advertise,
+		Peers:      s.Peers.Addresses,
+		DataFolder: s.DataFolder,
+		Voters:     s.Voters,
+		Bounds:     ledger.DefaultBounds(),
+		Timing: node.Timing{
+			Election:  time.Duration(s.Timing.Election),
+			Heartbeat: time.Duration(s.Timing.Heartbeat),
+			Lease: lease.Terms{
+				TTL:    time.Duration(s.Timing.LeaseTTL),
+				Margin: time.Duration(s.Timing.LeaseMargin),
+			},
+			Fresh:      time.Duration(s.Timing.Fresh),
+			Replace:    time.Duration(s.Timing.Replace),
+			DrainAfter: time.Duration(s.Timing.DrainAfter),
+			HoldGang:   time.Duration(s.Timing.HoldGang),
+			Grace:      time.Duration(s.Timing.Grace),
+		},
+	}
+}
+
+// Entry returns the limits of the HTTP listeners.
+func (s Settings) Entry() entry.Limits {
+	limits := entry.DefaultLimits()
+	limits.Connections = s.Limits.Connections
+	limits.Requests = s.Limits.Requests
+	limits.HeaderBytes = s.Limits.HeaderBytes
+	limits.BodyBytes = s.Limits.BodyBytes
+	limits.Header = time.Duration(s.Limits.HeaderTime)
+	limits.Body = time.Duration(s.Limits.BodyTime)
+	limits.Idle = time.Duration(s.Limits.IdleTime)
+	return limits
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jasmineward/jasmineward/internal/note"
+	"github.com/jasmineward/jasmineward/internal/wire"
+)
+
+const problemType = "application/problem+json"
+
+// problem is an RFC 9457 problem detail.
+type problem struct {
+	Type    string       `json:"type"`
+	Title   string       `json:"title"`
+	Status  int          `json:"status"`
+	Code    wire.Code    `json:"code"`
+	Detail  string       `json:"detail,omitempty"`
+	Faults  []note.Fault `json:"faults,omitempty"`
+	InForce uint64       `json:"note-in-force,omitempty"`
+	Digest  string       `json:"note-digest,omitempty"`
+	// RetryAfter is in milliseconds, as the header holds whole seconds only.
+	RetryAfter int64 `json:"retry-after-ms,omitempty"`
+}
+
+// statusOf is the one place where faults become HTTP statuses.
+func statusOf(code wire.Code) int {
+	switch code {
+	case wire.CodeBadRequest, wire.CodeTooOld, wire.CodeDeadline:
+		return http.StatusBadRequest
+	case wire.CodeKey:
+		return http.StatusUnauthorized
+	case wire.CodePermission:
+		return http.StatusForbidden
+	case wire.CodeNotFound:
+		return http.StatusNotFound
+	case wire.CodeReused, wire.CodeConflict, wire.CodeGap, wire.CodeSessionLive, wire.CodeMembership:
+		return http.StatusConflict
+	case wire.CodeSession:
+		return http.StatusGone
+	case wire.CodeFaults:
+		return http.StatusUnprocessableEntity
+	case wire.CodeQueueFull, wire.CodeOverload, wire.CodeBusy:
+		return http.StatusTooManyRequests
+	case wire.CodeInternal:
+		return http.StatusInternalServerError
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeFault(w http.ResponseWriter, fault *wire.Fault) {
+	status := statusOf(fault.Code)
+	if fault.Code == wire.CodeKey {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	if fault.RetryAfter > 0 {
+		seconds := int64((fault.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeProblem(w, problem{
+		Type:       "about:blank",
+		Title:      http.StatusText(status),
+		Status:     status,
+		Code:       fault.Code,
+		Detail:     fault.Detail,
+		Faults:     fault.Notes,
+		InForce:    fault.InForce,
+		Digest:     fault.Digest,
+		RetryAfter: fault.RetryAfter.Milliseconds(),
+	})
+}
+
+func writeProblem(w http.ResponseWriter, p problem) {
+	w.Header().Set("Content-Type", problemType)
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		writeFault(w, wire.Newf(wire.CodeInternal, err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/fake/target.go
@@ -0,0 +1,464 @@
+package fake
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/jasmineward/jasmineward/internal/client"
+	"github.com/jasmineward/jasmineward/internal/entry"
+	"github.com/jasmineward/jasmineward/internal/ledger"
+	"github.com/jasmineward/jasmineward/internal/note"
+	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/lease"
+	"github.com/jasmineward/jasmineward/pkg/quota"
+)
+
+const (
+	pollWait    = 2 * time.Second
+	pollTimeout = 4 * time.Second
+	retryPause  = 50 * time.Millisecond
+	watchEvery  = 50 * time.Millisecond
+)
+
+// Work is a stand-in task, carried as JSON in a job's payload.
+type Work struct {
+	// Request is the request id, so that the witness can tell whose it is.
+	Request   string `json:"request"`
+	RunMillis int64  `json:"run-ms"`
+	ExitCode  int    `json:"exit-code"`
+	// Forever tasks run until they are stopped.
+	Forever bool       `json:"forever"`
+	Uses    quota.Room `json:"uses"`
+}
+
+// Encode returns the work as a payload.
+func (w Work) Encode() []byte {
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// TargetConfig sets up a stand-in target.
+type TargetConfig struct {
+	ID       string
+	Rack     string
+	Domain   string
+	Capacity quota.Room
+	Slots    int
+	// Broken targets fail everything they start.
+	Broken bool
+}
+
+// Target is a stand-in worker: it holds a lease, runs tasks by waiting, and
+// tells the witness what it does.
+type Target struct {
+	cfg     TargetConfig
+	client  *client.Client
+	witness *Witness
+	lease   lease.Holder
+
+	mu      sync.Mutex
+	session string
+	tasks   map[ledger.Attempt]*task
+	events  []ledger.Event
+	leaving bool
+	wake    chan struct{}
+	// refused are starts that came after the lease had ended.
+	refused int
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+type task struct {
+	order     wire.Order
+	work      Work
+	run       *Run
+	timer     *time.Timer
+	held      bool
+	over      bool
+	stopping  bool
+	released  bool
+	throttled bool
+	last      ledger.Event
+}
+
+// StartTarget starts a stand-in target.
+func StartTarget(cfg TargetConfig, c *client.Client, witness *Witness) *Target {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Target{
+		cfg:     cfg,
+		client:  c,
+		witness: witness,
+		tasks:   map[ledger.Attempt]*task{},
+		wake:    make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	witness.SetCapacity(cfg.ID, cfg.Capacity)
+	t.done.Add(3)
+	go t.poll()
+	go t.report()
+	go t.watch()
+	return t
+}
+
+// Kill ends the target as a crash would: nothing more is said.
+func (t *Target) Kill() {
+	t.cancel()
+	t.done.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropAll()
+}
+
+// Leave has the target get no new work.
+func (t *Target) Leave(ctx context.Context) error {
+	t.mu.Lock()
+	session := t.session
+	t.leaving = true
+	t.mu.Unlock()
+	_, err := t.client.Leave(ctx, t.cfg.ID, entry.LeaveRequest{Session: session})
+	if err != nil {
+		return errors.Wrap(err, "leave")
+	}
+	return nil
+}
+
+// Refused returns how many starts the target refused for want of a lease.
+func (t *Target) Refused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused
+}
+
+func (t *Target) poll() {
+	defer t.done.Done()
+	for t.ctx.Err() == nil {
+		if !t.announce() {
+			t.sleep()
+			continue
+		}
+		for t.ctx.Err() == nil && t.pollOnce() {
+		}
+	}
+}
+
+func (t *Target) sleep() {
+	select {
+	case <-time.After(retryPause):
+	case <-t.ctx.Done():
+	}
+}
+
+// announce opens a new session; what ran in an earlier one is gone by then.
+func (t *Target) announce() bool {
+	session := uuid.NewString()
+	t.mu.Lock()
+	t.dropAll()
+	t.session = session
+	t.lease.Drop()
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
+	defer cancel()
+	sent := time.Now()
+	answer, err := t.client.Announce(ctx, t.cfg.ID, entry.AnnounceRequest{
+		Session:  session,
+		Capacity: t.cfg.Capacity,
+		Slots:    t.cfg.Slots,
+		Rack:     t.cfg.Rack,
+		Domain:   t.cfg.Domain,
+	})
+	if err != nil {
+		return false
+	}
+	t.lease.Extend(sent, time.Duration(answer.LeaseMillis)*time.Millisecond)
+	return true
+}
+
+// pollOnce polls, and tells false when a new session is needed.
+func (t *Target) pollOnce() bool {
+	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
+	defer cancel()
+	t.mu.Lock()
+	request := entry.PollRequest{
+		Session: t.session,
+		Known:   t.known(),
+		Wait:    note.Duration(pollWait),
+	}
+	t.mu.Unlock()
+	sent := time.Now()
+	answer, err := t.client.Poll(ctx, t.cfg.ID, request)
+	if err != nil {
+		return t.pollFailed(err)
+	}
+	t.lease.Extend(sent, time.Duration(answer.LeaseMillis)*time.Millisecond)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, order := range answer.Orders {
+		t.obey(order)
+	}
+	for _, attempt := range answer.Settled {
+		t.settle(attempt)
+	}
+	return true
+}
+
+func (t *Target) pollFailed(err error) bool {
+	var p *client.Problem
+	if errors.As(err, &p) && p.Code == wire.CodeSession {
+		return false
+	}
+	t.sleep()
+	return t.lease.Live(time.Now())
+}
+
+func (t *Target) known() []wire.Known {
+	known := make([]wire.Known, 0, len(t.tasks))
+	for attempt, task := range t.tasks {
+		k := wire.Known{
+			Attempt:   attempt,
+			Stopping:  task.stopping,
+			Released:  task.released,
+			Throttled: task.throttled,
+		}
+		if !task.over && !task.held {
+			k.Used = task.work.Uses
+		}
+		known = append(known, k)
+	}
+	return known
+}
+
+// watch drops everything once the lease has ended: it may run elsewhere
+// soon after.
+func (t *Target) watch() {
+	defer t.done.Done()
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		if !t.lease.Live(time.Now()) {
+			t.dropAll()
+		}
+		t.mu.Unlock()
+	}
+}
+
+func (t *Target) dropAll() {
+	now := time.Now()
+	for _, task := range t.tasks {
+		if task.timer != nil {
+			task.timer.Stop()
+		}
+		if task.run != nil {
+			t.witness.end(task.run, now)
+		}
+	}
+	t.tasks = map[ledger.Attempt]*task{}
+	t.events = nil
+}
+
+func (t *Target) settle(attempt ledger.Attempt) {
+	task, ok := t.tasks[attempt]
+	if !ok {
+		return
+	}
+	if task.timer != nil {
+		task.timer.Stop()
+	}
+	if task.run != nil {
+		t.witness.end(task.run, time.Now())
+	}
+	delete(t.tasks, attempt)
+}
+
+func (t *Target) obey(order wire.Order) {
+	known, ok := t.tasks[order.Attempt]
+	switch order.Kind {
+	case wire.OrderStart, wire.OrderHold:
+		if ok {
+			t.say(known.last)
+			return
+		}
+		t.take(order)
+	case wire.OrderRelease:
+		if ok && known.held {
+			known.released = true
+			known.held = false
+			t.begin(known)
+		}
+	case wire.OrderStop:
+		t.stopTask(order, known)
+	case wire.OrderThrottle:
+		if ok {
+			known.throttled = true
+			known.work.Uses.CPU = order.Room.CPU
+		}
+	}
+}
+
+func (t *Target) take(order wire.Order) {
+	if !t.lease.Live(time.Now()) {
+		t.refused++
+		return
+	}
+	task := &task{order: order}
+	_ = json.Unmarshal(order.Payload, &task.work)
+	t.tasks[order.Attempt] = task
+	if order.Kind == wire.OrderHold {
+		task.held = true
+		t.tell(task, ledger.Event{Kind: ledger.EventHeld})
+		return
+	}
+	t.begin(task)
+}
+
+func (t *Target) begin(task *task) {
+	order := task.order
+	task.run = &Run{
+		Attempt: order.Attempt,
+		Target:  t.cfg.ID,
+		Service: order.Service,
+		Team:    order.Team,
+		Request: task.work.Request,
+		Room:    order.Room,
+		Started: time.Now(),
+	}
+	t.witness.start(task.run)
+	t.tell(task, ledger.Event{Kind: ledger.EventStarted})
+	if task.work.Forever {
+		return
+	}
+	ran := time.Duration(task.work.RunMillis) * time.Millisecond
+	if t.cfg.Broken {
+		ran = 0
+	}
+	task.timer = time.AfterFunc(ran, func() { t.finish(task) })
+}
+
+func (t *Target) finish(task *task) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tasks[task.order.Attempt] != task || task.over {
+		return
+	}
+	task.over = true
+	t.witness.end(task.run, time.Now())
+	output := []byte("done " + task.work.Request)
+	sum := sha256.Sum256(output)
+	event := ledger.Event{
+		Kind:     ledger.EventFinished,
+		ExitCode: task.work.ExitCode,
+		Output:   output,
+		Checksum: hex.EncodeToString(sum[:]),
+	}
+	if t.cfg.Broken {
+		event.ExitCode = 1
+	}
+	t.tell(task, event)
+}
+
+// stopTask stops an attempt, or remembers never to start it.
+func (t *Target) stopTask(order wire.Order, known *task) {
+	if known == nil {
+		known = &task{
+			order: order,
+			over:  true,
+		}
+		t.tasks[order.Attempt] = known
+		known.stopping = true
+		t.tell(known, ledger.Event{Kind: ledger.EventFenced})
+		return
+	}
+	known.stopping = true
+	switch {
+	case known.over:
+		t.say(known.last)
+	case known.held:
+		known.over = true
+		known.held = false
+		t.tell(known, ledger.Event{Kind: ledger.EventFenced})
+	default:
+		if known.timer != nil {
+			known.timer.Stop()
+		}
+		known.over = true
+		t.witness.end(known.run, time.Now())
+		t.tell(known, ledger.Event{
+			Kind:       ledger.EventStopped,
+			Checkpoint: "checkpoint of " + known.work.Request,
+		})
+	}
+}
+
+func (t *Target) tell(task *task, event ledger.Event) {
+	event.Attempt = task.order.Attempt
+	task.last = event
+	t.say(event)
+}
+
+func (t *Target) say(event ledger.Event) {
+	t.events = append(t.events, event)
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// report brings events to the cell, in their order, until they are kept.
+func (t *Target) report() {
+	defer t.done.Done()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.wake:
+		}
+		for t.ctx.Err() == nil && t.reportOnce() {
+		}
+	}
+}
+
+// reportOnce sends what there is, and tells whether to go on.
+func (t *Target) reportOnce() bool {
+	t.mu.Lock()
+	events := append([]ledger.Event(nil), t.events...)
+	session := t.session
+	t.mu.Unlock()
+	if len(events) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
+	defer cancel()
+	_, err := t.client.Report(ctx, t.cfg.ID, entry.ReportRequest{
+		Session: session,
+		Events:  events,
+	})
+	var p *client.Problem
+	if err != nil && !errors.As(err, &p) {
+		t.sleep()
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.session == session && len(t.events) >= len(events) {
+		t.events = append([]ledger.Event(nil), t.events[len(events):]...)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,111 @@
+// Package meter holds the metrics of one instance.
+package meter
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Meter holds the metrics. Every instance of a process has its own.
+type Meter struct {
+	registry *prometheus.Registry
+
+	Applied   prometheus.Counter
+	Admitted  prometheus.Counter
+	Refused   *prometheus.CounterVec
+	Decisions *prometheus.CounterVec
+	Outcomes  *prometheus.CounterVec
+	Decide    prometheus.Histogram
+	Waiting   *prometheus.HistogramVec
+	Polls     prometheus.Counter
+	Retries   prometheus.Counter
+	Requests  *prometheus.CounterVec
+	Packing   prometheus.Gauge
+	Waits     prometheus.Gauge
+	Note      prometheus.Gauge
+	Leading   prometheus.Gauge
+	Fresh     prometheus.Gauge
+}
+
+// New returns metrics that all stand at zero.
+func New() *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		Applied:  counter("jasmineward_commands_applied_total", "Commands applied to the ledger."),
+		Admitted: counter("jasmineward_jobs_admitted_total", "Jobs admitted by this leader."),
+		Refused: counters("jasmineward_jobs_refused_total",
+			"Jobs refused, by the code of the refusal.", "code"),
+		Decisions: counters("jasmineward_decisions_total",
+			"Decisions, by what they do and the policy.", "verb", "policy"),
+		Outcomes: counters("jasmineward_outcomes_total", "Jobs ended, by outcome.", "outcome"),
+		Decide: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "jasmineward_decide_seconds",
+			Help:    "Time of one decision.",
+			Buckets: prometheus.ExponentialBuckets(1e-6, 2, 18),
+		}),
+		Waiting: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "jasmineward_waiting_seconds",
+			Help:    "Time from admission to start, by kind.",
+			Buckets: prometheus.ExponentialBuckets(1e-3, 2, 20),
+		}, []string{"kind"}),
+		Polls:   counter("jasmineward_polls_total", "Polls of targets answered by this leader."),
+		Retries: counter("jasmineward_retries_total", "Calls to the leader that were tried again."),
+		Requests: counters("jasmineward_http_requests_total",
+			"HTTP requests, by listener and status.", "listener", "status"),
+		Packing: gauge("jasmineward_packing_ratio", "Part of the fleet's room that is taken."),
+		Waits:   gauge("jasmineward_tasks_waiting", "Tasks that wait for a place."),
+		Note:    gauge("jasmineward_note_in_force", "Number of the release note in force here."),
+		Leading: gauge("jasmineward_leading", "1 while this instance leads."),
+		Fresh:   gauge("jasmineward_configuration_fresh", "1 while the configuration is fresh."),
+	}
+	m.registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.Applied, m.Admitted, m.Refused, m.Decisions, m.Outcomes, m.Decide, m.Waiting, m.Polls,
+		m.Retries, m.Requests, m.Packing, m.Waits, m.Note, m.Leading, m.Fresh,
+	)
+	return m
+}
+
+// Traffic exports the bytes read from and written to other instances.
+func (m *Meter) Traffic(read, written *atomic.Int64) {
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "jasmineward_peer_read_bytes_total",
+			Help: "Bytes read from other instances.",
+		}, func() float64 { return float64(read.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "jasmineward_peer_written_bytes_total",
+			Help: "Bytes written to other instances.",
+		}, func() float64 { return float64(written.Load()) }),
+	)
+}
+
+// Handler returns the handler of the metrics page.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: name,
+		Help: help,
+	})
+}
--- /dev/null
+++ b/internal/node/changes.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"time"
+
+	"github.com/jasmineward/jasmineward/internal/ledger"
+	"github.com/jasmineward/jasmineward/internal/note"
+	"github.com/jasmineward/jasmineward/pkg/sched"
+)
+
+// jobChanged tells the engine, the targets and those who wait of a change.
+func (l *leader) jobChanged(before, after *ledger.Job) {
+	if after == nil {
+		return
+	}
+	if before == nil {
+		l.watchTimes(after)
+		l.engine.Submit(jobOf(after))
+		l.wakeScheduler()
+		return
+	}
+	now := time.Now()
+	for i := range after.Tasks {
+		l.taskChanged(before, after, i, now)
+	}
+	if after.Ending != ledger.ReasonNone && before.Ending == ledger.ReasonNone {
+		l.engine.Withdraw(sched.JobID(after.ID))
+	}
+	if after.Released && !before.Released {
+		l.wakeTargets(after)
+	}
+	if after.Over() && !before.Over() {
+		l.jobOver(after, now)
+	}
+}
+
+func (l *leader) jobOver(job *ledger.Job, now time.Time) {
+	l.engine.Drop(sched.JobID(job.ID), now)
+	l.mu.Lock()
+	l.finished = append(l.finished, job.ID)
+	l.mu.Unlock()
+	l.node.meter.Outcomes.WithLabelValues(string(job.Outcome)).Inc()
+	if waiter, ok := l.waiters.Get(job.ID); ok {
+		waiter.raise()
+	}
+}
+
+func (l *leader) taskChanged(before, after *ledger.Job, index int, now time.Time) {
+	old, task := before.Tasks[index], after.Tasks[index]
+	id := sched.JobID(after.ID)
+	switch {
+	case !old.State.Active() && task.State.Active():
+		l.engine.Placed(id, index, task.Attempt, task.Target, now)
+		l.wakeTarget(task.Target)
+		if after.Kind == note.KindGang && index == 0 {
+			l.mu.Lock()
+			l.gangs.add(after.ID, now.Add(l.node.cfg.Timing.HoldGang))
+			l.mu.Unlock()
+		}
+	case old.State.Active() && !task.State.Active():
+		l.engine.Finished(id, index, resultOf(old, task, now))
+		l.wakeTarget(old.Target)
+		l.wakeScheduler()
+	case task.Stop != old.Stop:
+		l.wakeTarget(task.Target)
+	}
+	if task.State == ledger.TaskRunning && old.State != ledger.TaskRunning {
+		l.started(after, task)
+	}
+	if task.State == ledger.TaskQueued && old.State != ledger.TaskQueued {
+		l.engine.Requeue(id, index, task.Attempt, now)
+		l.wakeScheduler()
+	}
+}
+
+func (l *leader) started(job *ledger.Job, task ledger.Task) {
+	wait := time.Duration(task.StartedAt-job.Admitted) * time.Millisecond
+	l.node.meter.Waiting.WithLabelValues(string(job.Kind)).Observe(wait.Seconds())
+}
+
+func resultOf(old, task ledger.Task, now time.Time) sched.Result {
+	result := sched.Result{
+		Now:     now,
+		Started: old.State == ledger.TaskRunning,
+		Failed:  task.Failures > old.Failures || task.State == ledger.TaskFailed,
+	}
+	if old.StartedAt > 0 {
+		result.Ran = now.Sub(time.UnixMilli(int64(old.StartedAt)))
+	}
+	if result.Failed {
+		result.Started = true
+	}
+	return result
+}
+
+func (l *leader) targetChanged(before, after *ledger.Target) {
+	switch {
+	case after == nil:
+		l.engine.RemoveWorker(before.ID)
+		l.granter.Forget(keyOf(before))
+		l.wakeTarget(before.ID)
+		l.mu.Lock()
+		delete(l.ending, keyOf(before))
+		delete(l.superseded, keyOf(before))
+		l.mu.Unlock()
+		l.node.log.Infof("target: session ended target=%s session=%s", before.ID, before.Session)
+	case before == nil:
+		l.granter.Grant(keyOf(after), time.Now())
+		l.engine.SetWorker(workerOf(after))
+		l.node.log.Infof("target: announced target=%s session=%s domain=%s rack=%s",
+			after.ID, after.Session, after.Domain, after.Rack)
+	case after.Leaving && !before.Leaving:
+		l.engine.CloseWorker(after.ID)
+		l.mu.Lock()
+		l.drains.add(keyOf(after), time.Now().Add(l.node.cfg.Timing.DrainAfter))
+		l.mu.Unlock()
+		l.node.log.Infof("target: leaving target=%s", after.ID)
+	default:
+		return
+	}
+	l.wakeScheduler()
+}
+
+func (l *leader) configChanged(n note.Note, state *note.State) {
+	l.setTeams(state)
+	for _, change := range n.Changes {
+		if change.Team != nil && change.Op == note.OpWithdraw {
+			l.engine.RemoveTeam(change.Team.Name)
+		}
+	}
+	l.mu.Lock()
+	l.notes = append(l.notes, n)
+	if len(l.notes) > keptNotes {
+		l.notes = append([]note.Note(nil), l.notes[len(l.notes)-keptNotes:]...)
+	}
+	l.mu.Unlock()
+	l.noteUp.raise()
+	l.wakeScheduler()
+}
+
+func (l *leader) watchTimes(job *ledger.Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if job.Spec.StartBy != 0 {
+		l.deadlines.add(job.ID, time.UnixMilli(int64(job.Spec.StartBy)))
+	}
+	if job.Kind == note.KindGang && job.Active() > 0 {
+		l.gangs.add(job.ID, time.Now().Add(l.node.cfg.Timing.HoldGang))
+	}
+}
+
+func (l *leader) wakeScheduler() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *leader) wakeTargets(job *ledger.Job) {
+	for _, task := range job.Tasks {
+		l.wakeTarget(task.Target)
+	}
+}
+
+func (l *leader) wakeTarget(id string) {
+	if box, ok := l.boxes.Get(id); ok {
+		box.raise()
+	}
+}
+
+// box returns the signal raised when there is news for the target.
+func (l *leader) box(id string) *signal {
+	var box *signal
+	l.boxes.Update(id, func(s *signal, found bool) (*signal, bool) {
+		if !found {
+			s = newSignal()
+		}
+		box = s
+		return s, true
+	})
+	return box
+}
--- /dev/null
+++ b/internal/note/check.go
@@ -0,0 +1,216 @@
+package note
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"regexp"
+	"time"
+
+	"github.com/jasmineward/jasmineward/pkg/quota"
+)
+
+const (
+	maxChanges     = 1000
+	maxQueuedBound = 1_000_000
+	maxShare       = 1e6
+	digestBytes    = 32
+	maxStartWithin = 30 * 24 * time.Hour
+	maxRoomAmount  = 1 << 40
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$`)
+
+// checker applies changes one by one and collects what is wrong.
+type checker struct {
+	next   *State
+	place  string
+	faults []Fault
+}
+
+func (c *checker) fault(field, message string) {
+	place := field
+	if c.place != "" {
+		place = c.place + "." + field
+	}
+	c.faults = append(c.faults, Fault{
+		Place:   place,
+		Message: message,
+	})
+}
+
+func (c *checker) apply(change Change) {
+	if change.Op != OpAdd && change.Op != OpChange && change.Op != OpWithdraw {
+		c.fault("op", fmt.Sprintf("is %q, not add, change or withdraw", change.Op))
+		return
+	}
+	if c.countThings(change) != 1 {
+		c.fault("change", "must name exactly one of team, service, key, share, limit")
+		return
+	}
+	switch {
+	case change.Team != nil:
+		c.team(change.Op, *change.Team)
+	case change.Service != nil:
+		c.service(change.Op, *change.Service)
+	case change.Key != nil:
+		c.key(change.Op, *change.Key)
+	case change.Share != nil:
+		c.share(change.Op, *change.Share)
+	case change.Limit != nil:
+		c.limit(change.Op, *change.Limit)
+	}
+}
+
+func (c *checker) countThings(change Change) int {
+	count := 0
+	for _, set := range []bool{
+		change.Team != nil, change.Service != nil, change.Key != nil,
+		change.Share != nil, change.Limit != nil,
+	} {
+		if set {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *checker) team(op Op, team Team) {
+	c.name("team.name", team.Name)
+	_, exists := c.next.Teams[team.Name]
+	if !c.exists("team.name", op, team.Name, exists) {
+		return
+	}
+	if op == OpWithdraw {
+		delete(c.next.Teams, team.Name)
+		return
+	}
+	c.weight("team.share", team.Share)
+	c.room("team.limit", team.Limit)
+	c.next.Teams[team.Name] = team
+}
+
+func (c *checker) service(op Op, service Service) {
+	c.name("service.name", service.Name)
+	_, exists := c.next.Services[service.Name]
+	if !c.exists("service.name", op, service.Name, exists) {
+		return
+	}
+	if op == OpWithdraw {
+		delete(c.next.Services, service.Name)
+		return
+	}
+	switch service.Kind {
+	case KindService, KindBatch, KindGang:
+	default:
+		c.fault("service.kind", fmt.Sprintf("is %q, not service, batch or gang", service.Kind))
+	}
+	if service.MaxQueued < 0 || service.MaxQueued > maxQueuedBound {
+		c.fault("service.max-queued", fmt.Sprintf("is not between 0 and %d", maxQueuedBound))
+	}
+	if service.StartWithin < 0 || time.Duration(service.StartWithin) > maxStartWithin {
+		c.fault("service.start-within", "is not between 0s and 720h")
+	}
+	if service.Urgent && service.Preemptible {
+		c.fault("service.urgent", "can't stand beside preemptible")
+	}
+	c.next.Services[service.Name] = service
+}
+
+func (c *checker) key(op Op, key Key) {
+	c.name("key.id", key.ID)
+	_, exists := c.next.Keys[key.ID]
+	if !c.exists("key.id", op, key.ID, exists) {
+		return
+	}
+	if op == OpWithdraw {
+		delete(c.next.Keys, key.ID)
+		return
+	}
+	if key.StopRunning {
+		c.fault("key.stop-running", "goes with withdraw only")
+	}
+	sum, err := hex.DecodeString(key.Digest)
+	if err != nil || len(sum) != digestBytes {
+		c.fault("key.digest", "is not a SHA-256 in hex")
+	}
+	c.next.Keys[key.ID] = key
+}
+
+func (c *checker) share(op Op, share Share) {
+	team, ok := c.next.Teams[share.Team]
+	if !ok {
+		c.fault("share.team", fmt.Sprintf("names no team %q", share.Team))
+		return
+	}
+	c.weight("share.weight", share.Weight)
+	team.Share = share.Weight
+	if op == OpWithdraw {
+		team.Share = 0
+	}
+	c.next.Teams[share.Team] = team
+}
+
+func (c *checker) limit(op Op, limit Limit) {
+	team, ok := c.next.Teams[limit.Team]
+	if !ok {
+		c.fault("limit.team", fmt.Sprintf("names no team %q", limit.Team))
+		return
+	}
+	c.room("limit.room", limit.Room)
+	team.Limit = limit.Room
+	if op == OpWithdraw {
+		team.Limit = quota.Room{}
+	}
+	c.next.Teams[limit.Team] = team
+}
+
+// references checks that everything left names a team that is still there.
+func (c *checker) references() {
+	for _, name := range c.next.ServiceNames() {
+		if team := c.next.Services[name].Team; !c.hasTeam(team) {
+			c.fault("services."+name, fmt.Sprintf("names no team %q", team))
+		}
+	}
+	for _, id := range c.next.KeyIDs() {
+		if team := c.next.Keys[id].Team; !c.hasTeam(team) {
+			c.fault("keys."+id, fmt.Sprintf("names no team %q", team))
+		}
+	}
+}
+
+func (c *checker) hasTeam(name string) bool {
+	_, ok := c.next.Teams[name]
+	return ok
+}
+
+func (c *checker) name(field, name string) {
+	if !namePattern.MatchString(name) {
+		c.fault(field, fmt.Sprintf("%q is not a kebab-case name of 1 to 64 letters", name))
+	}
+}
+
+func (c *checker) exists(field string, op Op, name string, exists bool) bool {
+	if op == OpAdd && exists {
+		c.fault(field, fmt.Sprintf("%q is there already", name))
+		return false
+	}
+	if op != OpAdd && !exists {
+		c.fault(field, fmt.Sprintf("%q is not there", name))
+		return false
+	}
+	return true
+}
+
+func (c *checker) weight(field string, weight float64) {
+	if math.IsNaN(weight) || weight < 0 || weight > maxShare {
+		c.fault(field, "is not between 0 and 1000000")
+	}
+}
+
+func (c *checker) room(field string, room quota.Room) {
+	amounts := max(int64(room.CPU), int64(room.Memory), room.Accelerators)
+	if !room.Valid() || amounts > maxRoomAmount {
+		c.fault(field, "has a negative or absurd amount")
+	}
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,232 @@
+package peer
+
+import (
+	"context"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/jasmineward/jasmineward/pkg/raft"
+)
+
+// Method names of the log's service.
+const (
+	LogService    = "Log"
+	methodStep    = LogService + ".Step"
+	methodPiece   = LogService + ".Piece"
+	pieceBytes    = 256 << 10
+	pieceTimeout  = 5 * time.Second
+	stepTimeout   = 2 * time.Second
+	sendCapacity  = 4096
+	batchMessages = 512
+	inFlight      = 64
+)
+
+// StepArgs carries messages of the log.
+type StepArgs struct {
+	Cell     string         `cbor:"1,keyasint"`
+	Messages []raft.Message `cbor:"2,keyasint"`
+}
+
+// PieceArgs carries a piece of a snapshot. The last piece has the message.
+type PieceArgs struct {
+	Cell   string        `cbor:"1,keyasint"`
+	From   raft.ID       `cbor:"2,keyasint"`
+	Index  uint64        `cbor:"3,keyasint"`
+	Offset int           `cbor:"4,keyasint"`
+	Data   []byte        `cbor:"5,keyasint"`
+	Last   *raft.Message `cbor:"6,keyasint,omitempty"`
+}
+
+// Empty is a reply that says nothing.
+type Empty struct{}
+
+// LogTransport sends the messages of one replica. It learns addresses as it
+// goes, and keeps one ordered connection to each.
+type LogTransport struct {
+	cell    string
+	dialer  *Dialer
+	address func(raft.ID) string
+
+	mu    sync.Mutex
+	links map[raft.ID]*link
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+var _ raft.Transport = (*LogTransport)(nil)
+
+// NewLogTransport returns a transport that asks address where a replica is.
+func NewLogTransport(cell string, dialer *Dialer, address func(raft.ID) string) *LogTransport {
+	ctx, stop := context.WithCancel(context.Background())
+	return &LogTransport{
+		cell:    cell,
+		dialer:  dialer,
+		address: address,
+		links:   map[raft.ID]*link{},
+		ctx:     ctx,
+		stop:    stop,
+	}
+}
+
+// link is the ordered connection to one replica.
+type link struct {
+	client  *Client
+	address string
+	queue   chan raft.Message
+	stop    context.CancelFunc
+}
+
+// Send queues the messages, or drops those whose queue is full.
+func (t *LogTransport) Send(messages []raft.Message) {
+	for _, m := range messages {
+		l := t.link(m.To)
+		if l == nil {
+			continue
+		}
+		select {
+		case l.queue <- m:
+		default:
+		}
+	}
+}
+
+func (t *LogTransport) link(to raft.ID) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address := t.address(to)
+	l := t.links[to]
+	if l != nil && l.address == address {
+		return l
+	}
+	if l != nil {
+		l.stop()
+		delete(t.links, to)
+	}
+	if address == "" || t.ctx.Err() != nil {
+		return nil
+	}
+	ctx, stop := context.WithCancel(t.ctx)
+	l = &link{
+		client:  t.dialer.NewStream(address),
+		address: address,
+		queue:   make(chan raft.Message, sendCapacity),
+		stop:    stop,
+	}
+	t.links[to] = l
+	t.done.Add(1)
+	go t.run(ctx, l)
+	return l
+}
+
+// run sends what is queued, in batches and without waiting for each answer.
+func (t *LogTransport) run(ctx context.Context, l *link) {
+	defer t.done.Done()
+	defer l.client.Close()
+	answers := make(chan *rpc.Call, inFlight)
+	outstanding := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case call := <-answers:
+			outstanding--
+			if call.Error != nil {
+				l.client.Reset()
+			}
+		case m := <-l.queue:
+			if outstanding >= inFlight && !t.drain(ctx, l, answers, &outstanding) {
+				continue
+			}
+			args := &StepArgs{
+				Cell:     t.cell,
+				Messages: gather(m, l.queue),
+			}
+			if l.client.Start(ctx, methodStep, args, &Empty{}, answers) == nil {
+				outstanding++
+			}
+		}
+	}
+}
+
+// drain waits for one answer. Without one the connection is given up.
+func (t *LogTransport) drain(ctx context.Context, l *link, answers chan *rpc.Call, outstanding *int) bool {
+	timer := time.NewTimer(stepTimeout)
+	defer timer.Stop()
+	select {
+	case call := <-answers:
+		*outstanding--
+		if call.Error != nil {
+			l.client.Reset()
+		}
+		return true
+	case <-timer.C:
+		l.client.Reset()
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func gather(first raft.Message, queue chan raft.Message) []raft.Message {
+	batch := []raft.Message{first}
+	for len(batch) < batchMessages {
+		select {
+		case m := <-queue:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// SendSnapshot sends the state in pieces.
+func (t *LogTransport) SendSnapshot(ctx context.Context, m raft.Message) error {
+	t.mu.Lock()
+	address := t.address(m.To)
+	t.mu.Unlock()
+	if address == "" {
+		return errors.Wrapf(ErrUnreachable, "replica %d has no address", m.To)
+	}
+	client := t.dialer.NewStream(address)
+	defer client.Close()
+	state := m.State
+	m.State = nil
+	for offset := 0; ; offset += pieceBytes {
+		end := min(offset+pieceBytes, len(state))
+		args := &PieceArgs{
+			Cell:   t.cell,
+			From:   m.From,
+			Index:  m.Snapshot.Index,
+			Offset: offset,
+			Data:   state[offset:end],
+		}
+		if end == len(state) {
+			args.Last = &m
+		}
+		if err := t.sendPiece(ctx, client, args); err != nil {
+			return err
+		}
+		if args.Last != nil {
+			return nil
+		}
+	}
+}
+
+func (t *LogTransport) sendPiece(ctx context.Context, client *Client, args *PieceArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, pieceTimeout)
+	defer cancel()
+	if err := client.Call(ctx, methodPiece, args, &Empty{}); err != nil {
+		return errors.Wrap(err, "send snapshot")
+	}
+	return nil
+}
+
+// Close stops the transport.
+func (t *LogTransport) Close() {
+	t.stop()
+	t.done.Wait()
+}
--- /dev/null
+++ b/pkg/walog/snapshot.go
@@ -0,0 +1,83 @@
+package walog
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	snapshotMagic   = "jwsnap01"
+	snapshotName    = "state.snap"
+	snapshotAside   = "state.snap.new"
+	snapshotTrailer = 4
+)
+
+// ErrSnapshotVersion is returned for a snapshot file of another format
+// version.
+var ErrSnapshotVersion = errors.New("snapshot has an unknown version")
+
+// SaveSnapshot replaces the snapshot in the folder: the state is written
+// aside, synced, renamed over the old one, and the folder is synced.
+func SaveSnapshot(dir string, state []byte) error {
+	if err := os.MkdirAll(dir, folderPerm); err != nil {
+		return errors.Wrap(err, "make snapshot folder")
+	}
+	aside := filepath.Join(dir, snapshotAside)
+	if err := writeSynced(aside, state); err != nil {
+		return err
+	}
+	if err := os.Rename(aside, filepath.Join(dir, snapshotName)); err != nil {
+		return errors.Wrap(err, "rename snapshot")
+	}
+	if err := syncFolder(dir); err != nil {
+		return errors.Wrap(err, "sync snapshot folder")
+	}
+	return nil
+}
+
+func writeSynced(path string, state []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "create snapshot")
+	}
+	defer func() { _ = f.Close() }()
+	var trailer [snapshotTrailer]byte
+	binary.LittleEndian.PutUint32(trailer[:], crc32.Checksum(state, castagnoli))
+	for _, part := range [][]byte{[]byte(snapshotMagic), state, trailer[:]} {
+		if _, err := f.Write(part); err != nil {
+			return errors.Wrap(err, "write snapshot")
+		}
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync snapshot")
+	}
+	return nil
+}
+
+// LoadSnapshot returns the state in the folder's snapshot, or nil when there
+// is none. It fails with ErrSnapshotVersion or ErrCorrupt.
+func LoadSnapshot(dir string) ([]byte, error) {
+	data, err := os.ReadFile(filepath.Join(dir, snapshotName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read snapshot")
+	}
+	if len(data) < len(snapshotMagic)+snapshotTrailer {
+		return nil, errors.Wrap(ErrCorrupt, "snapshot is cut short")
+	}
+	if string(data[:len(snapshotMagic)]) != snapshotMagic {
+		return nil, ErrSnapshotVersion
+	}
+	state := data[len(snapshotMagic) : len(data)-snapshotTrailer]
+	sum := binary.LittleEndian.Uint32(data[len(data)-snapshotTrailer:])
+	if crc32.Checksum(state, castagnoli) != sum {
+		return nil, errors.Wrap(ErrCorrupt, "snapshot checksum")
+	}
+	return state, nil
+}
