--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sort"
+	"time"
+)
+
+// Report is what a run found. Every count comes from what callers were told
+// and what the stand-in targets saw, never from the cell's own books; only
+// the decide time and the control cost are read from its metrics.
+type Report struct {
+	Jobs         int `json:"jobs"`
+	Answered     int `json:"answered"`
+	Lost         int `json:"lost"`
+	DoubleRuns   int `json:"double-runs"`
+	OverCapacity int `json:"over-capacity"`
+	OverLimit    int `json:"over-limit"`
+	WrongTeam    int `json:"wrong-team"`
+	UntrueNotRun int `json:"untrue-not-run"`
+	WrongAnswers int `json:"wrong-answers"`
+	Unexpected   int `json:"unexpected-outcomes"`
+	Refused      int `json:"refused"`
+
+	Outcomes map[string]int `json:"outcomes"`
+
+	Seconds             float64            `json:"seconds"`
+	PlacementsPerSecond float64            `json:"placements-per-second"`
+	WaitP50             float64            `json:"wait-p50-ms"`
+	WaitP99             float64            `json:"wait-p99-ms"`
+	WaitByService       map[string]float64 `json:"wait-p99-ms-by-service"`
+	AdmitP99            float64            `json:"admit-p99-ms"`
+	DecideP99           float64            `json:"decide-p99-us"`
+	Packing             float64            `json:"packing"`
+	ShareDistance       float64            `json:"share-distance"`
+	ControlCores        float64            `json:"control-cpu-cores"`
+	ControlBytes        float64            `json:"control-bytes-per-second"`
+	// Recovery is the longest pause between two starts after the leader was
+	// killed, in milliseconds; zero when none was.
+	Recovery float64 `json:"recovery-ms,omitempty"`
+}
+
+// Broken tells whether a promise was broken or an answer is missing.
+func (r Report) Broken() bool {
+	return r.Lost+r.DoubleRuns+r.OverCapacity+r.OverLimit+r.WrongTeam+r.UntrueNotRun+
+		r.WrongAnswers+r.Unexpected > 0
+}
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) {
+	row := func(name string, value any) { _, _ = fmt.Fprintf(w, "%-28s %v\n", name, value) }
+	row("jobs", r.Jobs)
+	row("answered", r.Answered)
+	row("refused", r.Refused)
+	for _, outcome := range sortedKeys(r.Outcomes) {
+		row("  "+outcome, r.Outcomes[outcome])
+	}
+	row("lost", r.Lost)
+	row("double runs", r.DoubleRuns)
+	row("over capacity", r.OverCapacity)
+	row("over limit", r.OverLimit)
+	row("wrong team", r.WrongTeam)
+	row("untrue not-run", r.UntrueNotRun)
+	row("wrong answers", r.WrongAnswers)
+	row("unexpected outcomes", r.Unexpected)
+	row("placements per second", number(r.PlacementsPerSecond))
+	row("waiting p50, ms", number(r.WaitP50))
+	row("waiting p99, ms", number(r.WaitP99))
+	for _, service := range sortedKeys(r.WaitByService) {
+		row("  "+service+" p99, ms", number(r.WaitByService[service]))
+	}
+	row("admission p99, ms", number(r.AdmitP99))
+	row("decide p99, us", number(r.DecideP99))
+	row("packing", number(r.Packing))
+	row("share distance", number(r.ShareDistance))
+	row("control, cores", number(r.ControlCores))
+	row("control, bytes a second", number(r.ControlBytes))
+	if r.Recovery > 0 {
+		row("recovery, ms", number(r.Recovery))
+	}
+}
+
+func number(v float64) string {
+	return fmt.Sprintf("%.3g", v)
+}
+
+func sortedKeys[V any](items map[string]V) []string {
+	keys := make([]string, 0, len(items))
+	for key := range items {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// quantile returns the q-quantile of the durations, in milliseconds.
+func quantile(durations []time.Duration, q float64) float64 {
+	if len(durations) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), durations...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	at := int(math.Ceil(q*float64(len(sorted)))) - 1
+	return float64(sorted[max(at, 0)]) / float64(time.Millisecond)
+}
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	joinEvery   = 500 * time.Millisecond
-	votersEvery = time.Second
+	joinEvery   = 200 * time.Millisecond
+	votersEvery = 200 * time.Millisecond
 )
 
 // keepMember gives a data folder without an identity a replica of the cell
