--- /dev/null
+++ b/cmd/jasctl/cell.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/jasmineward/jasmineward/internal/entry"
+)
+
+func (t *tool) cell(ctx context.Context, name string, args []string) (entry.CellResponse, error) {
+	if _, _, err := t.parse(name, args, 0); err != nil {
+		return entry.CellResponse{}, err
+	}
+	c, err := t.operators()
+	if err != nil {
+		return entry.CellResponse{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.timeout())
+	defer cancel()
+	return c.Cell(ctx)
+}
+
+func cellStatus(ctx context.Context, t *tool, args []string) error {
+	cell, err := t.cell(ctx, "cell status", args)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{
+		{"cell", cell.Cell},
+		{"leader", cell.Leader},
+		{"term", strconv.FormatUint(cell.Term, 10)},
+		{"commit", strconv.FormatUint(cell.Commit, 10)},
+		{"targets", strconv.Itoa(len(cell.Targets))},
+		{"tasks waiting", strconv.Itoa(cell.Waiting)},
+		{"tasks running", strconv.Itoa(cell.Running)},
+		{"packing", fmt.Sprintf("%.3f", cell.Packing)},
+	}
+	for _, team := range cell.Teams {
+		rows = append(rows, []string{
+			"team " + team.Name,
+			fmt.Sprintf("share %g now %.3f running %d queued %d over-limit %t",
+				team.Weight, team.Share, team.Tasks, team.Queued, team.OverLimit),
+		})
+	}
+	return t.show(cell, []string{"WHAT", "VALUE"}, rows)
+}
+
+func instanceList(ctx context.Context, t *tool, args []string) error {
+	cell, err := t.cell(ctx, "instance list", args)
+	if err != nil {
+		return err
+	}
+	rows := make([][]string, 0, len(cell.Instances))
+	for _, i := range cell.Instances {
+		rows = append(rows, []string{
+			i.Name, i.Domain, i.Role, strconv.FormatUint(i.Note, 10), i.Silent.Round(1e6).String(),
+		})
+	}
+	return t.show(cell.Instances, []string{"NAME", "DOMAIN", "ROLE", "NOTE", "SILENT"}, rows)
+}
+
+func instanceAdd(_ context.Context, t *tool, args []string) error {
+	if _, _, err := t.parse("instance add", args, 0); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(t.out, "an instance is added by starting jasmined with the address of any other under"+
+		" [peers] addresses; with a data-folder it is made a learner, and a voter where one is wanted")
+	if err != nil {
+		return errors.Wrap(err, "print")
+	}
+	return nil
+}
+
+func instanceRemove(ctx context.Context, t *tool, args []string) error {
+	rest, _, err := t.parse("instance remove", args, 1)
+	if err != nil {
+		return err
+	}
+	c, err := t.operators()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.timeout())
+	defer cancel()
+	members, err := c.RemoveInstance(ctx, rest[0])
+	if err != nil {
+		return err
+	}
+	rows := make([][]string, 0, len(members))
+	for _, m := range members {
+		rows = append(rows, []string{m.Name, m.Domain, strconv.FormatBool(m.Voter)})
+	}
+	return t.show(members, []string{"NAME", "DOMAIN", "VOTER"}, rows)
+}
+
+func targetList(ctx context.Context, t *tool, args []string) error {
+	cell, err := t.cell(ctx, "target list", args)
+	if err != nil {
+		return err
+	}
+	rows := make([][]string, 0, len(cell.Targets))
+	for _, v := range cell.Targets {
+		state := "live"
+		switch {
+		case v.Leaving:
+			state = "leaving"
+		case v.Quarantined:
+			state = "quarantined"
+		}
+		rows = append(rows, []string{
+			v.ID, v.Domain, v.Rack, state,
+			fmt.Sprintf("%d/%d", v.Running, v.Slots),
+			fmt.Sprintf("%d/%d", v.CPUUsed, v.CPU),
+			fmt.Sprintf("%d/%d", v.MemoryUsed, v.Memory),
+		})
+	}
+	return t.show(cell.Targets, []string{"ID", "DOMAIN", "RACK", "STATE", "SLOTS", "MILLI-CPU", "MEMORY-MIB"}, rows)
+}
+
+func targetDrain(ctx context.Context, t *tool, args []string) error {
+	rest, _, err := t.parse("target drain", args, 1)
+	if err != nil {
+		return err
+	}
+	c, err := t.operators()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.timeout())
+	defer cancel()
+	answer, err := c.Drain(ctx, rest[0])
+	if err != nil {
+		return err
+	}
+	return t.show(answer, []string{"TARGET", "STILL-RUNNING"}, [][]string{{rest[0], strconv.Itoa(answer.Running)}})
+}
--- /dev/null
+++ b/cmd/jasctl/settings.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/jasmineward/jasmineward/internal/client"
+	"github.com/jasmineward/jasmineward/internal/note"
+)
+
+// settingsVariable names the environment variable of the settings file.
+const settingsVariable = "JASCTL_SETTINGS"
+
+// settings are what a settings file holds; flags go before them.
+type settings struct {
+	Callers   []string      `toml:"callers"`
+	Operators []string      `toml:"operators"`
+	KeyFile   string        `toml:"key-file"`
+	TokenFile string        `toml:"token-file"`
+	Timeout   note.Duration `toml:"timeout"`
+}
+
+const defaultTimeout = 15 * time.Second
+
+// common are the flags of every command.
+type common struct {
+	file      string
+	callers   string
+	operators string
+	keyFile   string
+	tokenFile string
+	timeout   time.Duration
+	asJSON    bool
+}
+
+func (c *common) register(set *flag.FlagSet) {
+	set.StringVar(&c.file, "settings", os.Getenv(settingsVariable), "settings `file`, in TOML")
+	set.StringVar(&c.callers, "callers", "", "callers' base `URLs`, with commas between")
+	set.StringVar(&c.operators, "operators", "", "operators' base `URLs`, with commas between")
+	set.StringVar(&c.keyFile, "key-file", "", "`file` that holds the key")
+	set.StringVar(&c.tokenFile, "token-file", "", "`file` that holds the operators' token")
+	set.DurationVar(&c.timeout, "timeout", 0, "how long to try (default 15s)")
+	set.BoolVar(&c.asJSON, "json", false, "print JSON")
+}
+
+// extraFlags makes the flags that a command has besides the common ones.
+var extraFlags = map[string]func(set *flag.FlagSet) any{
+	"job submit": func(set *flag.FlagSet) any { return newSubmitFlags(set) },
+	"job get":    func(set *flag.FlagSet) any { return newServiceFlags(set) },
+	"job wait":   func(set *flag.FlagSet) any { return newServiceFlags(set) },
+	"job cancel": func(set *flag.FlagSet) any { return newServiceFlags(set) },
+	"job list":   func(set *flag.FlagSet) any { return newListFlags(set) },
+	"note apply": func(set *flag.FlagSet) any { return newWaitFlags(set) },
+}
+
+func newSet(name string) (*flag.FlagSet, *common, any) {
+	set := flag.NewFlagSet("jasctl "+name, flag.ContinueOnError)
+	c := &common{}
+	c.register(set)
+	var extra any
+	if make := extraFlags[name]; make != nil {
+		extra = make(set)
+	}
+	return set, c, extra
+}
+
+func printFlags(name string, out io.Writer) {
+	set, _, _ := newSet(name)
+	set.SetOutput(out)
+	set.PrintDefaults()
+}
+
+// parse reads the flags and the settings file, and checks the number of
+// arguments that are left.
+func (t *tool) parse(name string, args []string, wanted int) ([]string, any, error) {
+	set, c, extra := newSet(name)
+	set.SetOutput(io.Discard)
+	if err := set.Parse(args); err != nil {
+		return nil, nil, errors.Wrapf(errUsage, "%s", err)
+	}
+	if set.NArg() != wanted {
+		return nil, nil, errors.Wrapf(errUsage, "%s takes %d arguments, not %d", name, wanted, set.NArg())
+	}
+	t.asJSON = c.asJSON
+	if err := t.load(c); err != nil {
+		return nil, nil, err
+	}
+	return set.Args(), extra, nil
+}
+
+func (t *tool) load(c *common) error {
+	if c.file != "" {
+		data, err := os.ReadFile(c.file)
+		if err != nil {
+			return errors.Wrapf(errUsage, "settings: %s", err)
+		}
+		decoder := toml.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&t.settings); err != nil {
+			return errors.Wrapf(errUsage, "settings: %s", err)
+		}
+	}
+	if c.callers != "" {
+		t.settings.Callers = strings.Split(c.callers, ",")
+	}
+	if c.operators != "" {
+		t.settings.Operators = strings.Split(c.operators, ",")
+	}
+	if c.keyFile != "" {
+		t.settings.KeyFile = c.keyFile
+	}
+	if c.tokenFile != "" {
+		t.settings.TokenFile = c.tokenFile
+	}
+	if c.timeout > 0 {
+		t.settings.Timeout = note.Duration(c.timeout)
+	}
+	if t.settings.Timeout <= 0 {
+		t.settings.Timeout = note.Duration(defaultTimeout)
+	}
+	return nil
+}
+
+func (t *tool) timeout() time.Duration {
+	return time.Duration(t.settings.Timeout)
+}
+
+func (t *tool) callers() (*client.Client, error) {
+	return newClient("callers", t.settings.Callers, t.settings.KeyFile)
+}
+
+func (t *tool) operators() (*client.Client, error) {
+	return newClient("operators", t.settings.Operators, t.settings.TokenFile)
+}
+
+func newClient(side string, bases []string, credentialFile string) (*client.Client, error) {
+	if len(bases) == 0 {
+		return nil, errors.Wrapf(errUsage, "-%s is needed, or %s in the settings file", side, side)
+	}
+	credential := ""
+	if credentialFile != "" {
+		data, err := os.ReadFile(credentialFile)
+		if err != nil {
+			return nil, errors.Wrapf(errUsage, "credential: %s", err)
+		}
+		credential = strings.TrimSpace(string(data))
+	}
+	return client.New(bases, client.WithCredential(credential)), nil
+}
+
+// show prints the value as JSON, or the table.
+func (t *tool) show(value any, header []string, rows [][]string) error {
+	if t.asJSON {
+		encoder := json.NewEncoder(t.out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(value); err != nil {
+			return errors.Wrap(err, "print")
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, row := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return errors.Wrap(err, "print")
+	}
+	return nil
+}
