--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -302,10 +302,12 @@
 // Ready returns what has to be done and takes it off the core's hands.
 func (c *Core) Ready() Ready {
 	c.releaseReads()
+	// A commit index must not reach the disk before the entries it covers:
+	// after a crash between the two it would cover what stood there before.
 	hard := HardState{
 		Term:   c.term,
 		Vote:   c.vote,
-		Commit: c.commit,
+		Commit: min(c.commit, c.stable),
 	}
 	ready := Ready{
 		Early:       c.early,
