Have the ledger's oracle show withdrawn keys again

Cause: the oracle never showed a withdrawn key under its team's scope, so the deliberate break of that check was not found in 200 cases. Change: it remembers the owner of each key.

--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -470,7 +470,8 @@
 	name := fmt.Sprintf("service-%d", o.pick(4))
 	key := fmt.Sprintf("key-%d", o.pick(3))
 	service, known := o.services[name]
-	team, hasKey := o.keys[key]
+	_, hasKey := o.keys[key]
+	team := o.owners[key]
 	o.submits++
 	id := uuidAt(o.now, o.submits)
 	spec := Spec{
