Keep a decision's cost flat in the size of the fleet

Cause: profile at 10,800 workers: half the time went into looking for urgent work among emptied queues, a quarter into hashing names of racks. Change: emptied queues leave their team's list, urgent work is counted, racks and failure domains are numbered.

--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -44,7 +44,7 @@
 func (e *Engine) pass(now time.Time, most int, urgent bool) {
 	e.round = e.round[:0]
 	for _, team := range e.teams {
-		if team.waiting > 0 {
+		if team.waiting > 0 && (!urgent || team.urgent > 0) {
 			team.share.advance(now)
 			e.round = append(e.round, team)
 		}
@@ -89,7 +89,7 @@
 		if e.tryPlace(team, it, now) {
 			return true
 		}
-		e.blocked[queue] = e.roundNo
+		queue.blocked = e.roundNo
 	}
 }
 
@@ -99,7 +99,7 @@
 	var queue *shapeQueue
 	var first *item
 	for _, q := range team.shapes {
-		if urgent && !q.shape.urgent || e.blocked[q] == e.roundNo {
+		if urgent && !q.shape.urgent || q.blocked == e.roundNo {
 			continue
 		}
 		it := q.oldest()
@@ -138,6 +138,7 @@
 		return false
 	}
 	e.view.avoid = job.tasks[it.task].last
+	e.view.service = e.service(job.Team, job.Service)
 	declared := job.Room
 	job.Room = e.expectedRoom(job.Job)
 	places, ok := policy.Choose(e.view, &job.Job, tasks)
--- a/pkg/sched/engine.go
+++ b/pkg/sched/engine.go
@@ -57,7 +57,7 @@
 	holders  []*jobRecord
 	round    []*teamRecord
 	roundNo  uint64
-	blocked  map[*shapeQueue]uint64
+	ageAt    time.Time
 	out      []Decision
 }
 
@@ -179,7 +179,6 @@
 		jobs:     map[JobID]*jobRecord{},
 		services: map[serviceKey]*serviceRecord{},
 		spread:   map[spreadKey]int{},
-		blocked:  map[*shapeQueue]uint64{},
 	}
 	e.view = newView(e.fleet, e.spread, s)
 	return e
@@ -525,19 +524,17 @@
 
 // spreadKey counts the tasks of a service in a rack or failure domain.
 type spreadKey struct {
-	service string
-	domain  string
-	rack    string
+	service *serviceRecord
+	area    int32
 }
 
 func (e *Engine) countSpread(r *running, n int) {
-	domain := spreadKey{
-		service: r.service,
-		domain:  r.worker.Domain,
-	}
-	rack := domain
-	rack.rack = r.worker.Rack
-	for _, key := range []spreadKey{domain, rack} {
+	service := e.service(r.team, r.service)
+	for _, area := range []int32{r.worker.domainArea, r.worker.rackArea} {
+		key := spreadKey{
+			service: service,
+			area:    area,
+		}
 		e.spread[key] += n
 		if e.spread[key] == 0 {
 			delete(e.spread, key)
--- a/pkg/sched/fleet.go
+++ b/pkg/sched/fleet.go
@@ -12,6 +12,7 @@
 	byID     map[string]*worker
 	places   []*worker
 	domains  []span
+	areas    map[string]int32
 	free     index
 	reclaim  index
 	capacity index
@@ -26,15 +27,19 @@
 // span is the places of one failure domain.
 type span struct {
 	domain   string
+	area     int32
 	from, to int
 }
 
 type worker struct {
 	Worker
-	place   int
-	used    quota.Room
-	slots   int
-	running map[taskKey]*running
+	place int
+	// domainArea and rackArea number the failure domain and the rack.
+	domainArea int32
+	rackArea   int32
+	used       quota.Room
+	slots      int
+	running    map[taskKey]*running
 	// preemptible is the room that victims could give back.
 	preemptible      quota.Room
 	preemptibleSlots int
@@ -65,6 +70,7 @@
 func newFleet(makeTree func(places int) index) *fleet {
 	return &fleet{
 		byID:     map[string]*worker{},
+		areas:    map[string]int32{},
 		freeIn:   map[string]quota.Room{},
 		makeTree: makeTree,
 		stale:    true,
@@ -81,10 +87,23 @@
 			running: map[taskKey]*running{},
 		}
 	}
+	known := f.byID[w.ID]
+	known.domainArea = f.area(w.Domain)
+	known.rackArea = f.area(w.Domain + "/" + w.Rack)
 	f.total = f.total.Add(w.Capacity)
 	f.stale = true
 }
 
+// area returns the number of a failure domain or rack.
+func (f *fleet) area(name string) int32 {
+	area, ok := f.areas[name]
+	if !ok {
+		area = int32(len(f.areas))
+		f.areas[name] = area
+	}
+	return area
+}
+
 func (f *fleet) remove(id string) *worker {
 	w, ok := f.byID[id]
 	if !ok {
@@ -122,6 +141,7 @@
 		if n == 0 || f.domains[n-1].domain != w.Domain {
 			f.domains = append(f.domains, span{
 				domain: w.Domain,
+				area:   w.domainArea,
 				from:   i,
 			})
 			n++
--- a/pkg/sched/policy.go
+++ b/pkg/sched/policy.go
@@ -79,7 +79,7 @@
 // Choose looks in the failure domain with the fewest tasks of the service
 // first, and there for the rack with the fewest.
 func (servicePolicy) Choose(view *View, job *Job, _ int) ([]Place, bool) {
-	for _, domain := range view.DomainsBySpread(job.Service) {
+	for _, domain := range view.DomainsBySpread() {
 		best, found := best(view.Sample(job, domain), func(a, b Candidate) bool {
 			if a.InRack != b.InRack {
 				return a.InRack < b.InRack
--- a/pkg/sched/preempt.go
+++ b/pkg/sched/preempt.go
@@ -29,6 +29,9 @@
 func (e *Engine) urgentBlocked() *item {
 	var oldest *item
 	for _, team := range e.teams {
+		if team.urgent == 0 {
+			continue
+		}
 		for _, q := range team.shapes {
 			if !q.shape.urgent || q.shape.kind == KindGang {
 				continue
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -42,6 +42,8 @@
 	shape shape
 	items []*item
 	head  int
+	// blocked is the last round in which the oldest item did not fit.
+	blocked uint64
 }
 
 func (q *shapeQueue) push(it *item) {
@@ -78,6 +80,7 @@
 	index  map[shape]*shapeQueue
 	// waiting counts items that are not gone.
 	waiting int
+	urgent  int
 	used    quota.Room
 	share   window
 	starts  rate
@@ -100,6 +103,9 @@
 	}
 	q.push(it)
 	t.waiting++
+	if it.job.Urgent {
+		t.urgent++
+	}
 }
 
 func (t *teamRecord) drop(it *item) {
@@ -108,9 +114,31 @@
 	}
 	it.gone = true
 	t.waiting--
-	if q := t.index[shapeOf(it.job.Job)]; q != nil {
-		q.oldest()
-		q.compact()
+	if it.job.Urgent {
+		t.urgent--
+	}
+	q := t.index[shapeOf(it.job.Job)]
+	if q == nil {
+		return
+	}
+	if q.oldest() == nil {
+		t.forget(q)
+		return
+	}
+	q.compact()
+}
+
+// forget takes an empty queue off the list, so that no round looks at it.
+func (t *teamRecord) forget(q *shapeQueue) {
+	delete(t.index, q.shape)
+	for i, other := range t.shapes {
+		if other == q {
+			last := len(t.shapes) - 1
+			t.shapes[i] = t.shapes[last]
+			t.shapes[last] = nil
+			t.shapes = t.shapes[:last]
+			return
+		}
 	}
 }
 
--- a/pkg/sched/reserve.go
+++ b/pkg/sched/reserve.go
@@ -8,11 +8,18 @@
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
+// ageEvery is how often the oldest waiting work is looked for.
+const ageEvery = 100 * time.Millisecond
+
 // age reserves workers for the oldest work that has waited too long. A
 // reserved worker takes nothing else, so that it empties whatever its tasks
 // were declared to take; the wait of the work it is kept for is bounded by
 // the aging time and the longest task that runs there.
 func (e *Engine) age(now time.Time) {
+	if now.Before(e.ageAt) {
+		return
+	}
+	e.ageAt = now.Add(ageEvery)
 	e.dropHolders(now)
 	for len(e.holders) < e.settings.maxHolders {
 		it := e.oldestWaiting(now)
--- a/pkg/sched/view.go
+++ b/pkg/sched/view.go
@@ -34,6 +34,7 @@
 	samples int
 	random  *rand.Rand
 	avoid   string
+	service *serviceRecord
 	found   []Candidate
 	ranges  []Range
 	keys    []float64
@@ -96,9 +97,8 @@
 	v.found = append(v.found, Candidate{
 		Place: Place(place),
 		InRack: v.spread[spreadKey{
-			service: job.Service,
-			domain:  w.Domain,
-			rack:    w.Rack,
+			service: v.service,
+			area:    w.rackArea,
 		}],
 		Left:  smallest(left, w.Capacity),
 		Waste: waste(left, w.Capacity, job.Room),
@@ -136,13 +136,13 @@
 }
 
 // DomainsBySpread returns the failure domains, those with the fewest tasks
-// of the service first.
-func (v *View) DomainsBySpread(service string) []Range {
+// of the job's service first.
+func (v *View) DomainsBySpread() []Range {
 	v.ranges, v.keys = v.ranges[:0], v.keys[:0]
 	for _, d := range v.fleet.domains {
 		count := v.spread[spreadKey{
-			service: service,
-			domain:  d.domain,
+			service: v.service,
+			area:    d.area,
 		}]
 		v.addRange(d, float64(count)+v.random.Float64()/2)
 	}
