--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -17,7 +17,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.out = nil
-	e.roundNo++
 	e.fleet.refresh()
 	e.wakeDelayed(now)
 	e.refuseNever(now)
@@ -27,6 +26,8 @@
 	e.preempt(now)
 	e.pass(now, most, false)
 	e.age(now)
+	e.freed = e.freed[:0]
+	e.onlyFreed = true
 	return e.out
 }
 
@@ -86,24 +87,24 @@
 		if it == nil {
 			return false
 		}
-		if e.tryPlace(team, it, now) {
+		if e.tryPlace(team, queue, it, now) {
 			return true
 		}
-		queue.blocked = e.roundNo
+		queue.blocked = e.version
 	}
 }
 
-// nextItem returns the oldest item of the most pressing kind whose shape has
-// not failed in this round.
+// nextItem returns the oldest item of the most pressing kind that may fit by
+// what has happened since it was last tried.
 func (e *Engine) nextItem(team *teamRecord, urgent bool) (*shapeQueue, *item) {
 	var queue *shapeQueue
 	var first *item
 	for _, q := range team.shapes {
-		if urgent && !q.shape.urgent || q.blocked == e.roundNo {
+		if urgent && !q.shape.urgent || q.blocked == e.version {
 			continue
 		}
 		it := q.oldest()
-		if it == nil {
+		if it == nil || e.stillBlocked(q, it) {
 			continue
 		}
 		if first == nil || pressing(q, it, queue, first) {
@@ -113,6 +114,22 @@
 	return queue, first
 }
 
+// stillBlocked tells whether the item, tried in vain before, fits none of
+// the workers that have given room back since.
+func (e *Engine) stillBlocked(q *shapeQueue, it *item) bool {
+	if q.blocked == 0 || !q.noRoom || !e.onlyFreed {
+		return false
+	}
+	need := vectorOf(it.job.Room, 1)
+	for _, w := range e.freed {
+		if w.freeVector().covers(need) {
+			return false
+		}
+	}
+	q.blocked = e.version
+	return true
+}
+
 func pressing(q *shapeQueue, it *item, than *shapeQueue, first *item) bool {
 	if q.shape.urgent != than.shape.urgent {
 		return q.shape.urgent
@@ -124,8 +141,9 @@
 	return it.since.Before(first.since)
 }
 
-func (e *Engine) tryPlace(team *teamRecord, it *item, now time.Time) bool {
+func (e *Engine) tryPlace(team *teamRecord, queue *shapeQueue, it *item, now time.Time) bool {
 	job := it.job
+	queue.noRoom = false
 	tasks := 1
 	if job.Kind == KindGang {
 		tasks = len(job.tasks)
@@ -145,6 +163,7 @@
 	job.Room = declared
 	e.view.Reset()
 	if !ok {
+		queue.noRoom = true
 		return false
 	}
 	e.commit(job, it, places, policy.Name(), now)
--- a/pkg/sched/engine.go
+++ b/pkg/sched/engine.go
@@ -56,9 +56,14 @@
 	sick     []*worker
 	holders  []*jobRecord
 	round    []*teamRecord
-	roundNo  uint64
-	ageAt    time.Time
-	out      []Decision
+	// version counts what may let blocked work fit; freed lists the workers
+	// that gave room back since the last Decide, and onlyFreed tells that
+	// nothing else happened.
+	version   uint64
+	freed     []*worker
+	onlyFreed bool
+	ageAt     time.Time
+	out       []Decision
 }
 
 var _ Decider = (*Engine)(nil)
@@ -67,6 +72,7 @@
 type settings struct {
 	grace        time.Duration
 	aging        time.Duration
+	agingBelow   time.Duration
 	reserveFor   time.Duration
 	backoff      time.Duration
 	maxBackoff   time.Duration
@@ -93,6 +99,12 @@
 	return func(s *settings) { s.aging = d }
 }
 
+// WithAgingBelow sets after how long a wait room is reserved for a job of a
+// team that has clearly less than its share.
+func WithAgingBelow(d time.Duration) Option {
+	return func(s *settings) { s.agingBelow = d }
+}
+
 // WithHeadroom sets the part of the fleet's processors that batch and gangs
 // leave to services.
 func WithHeadroom(part float64) Option {
@@ -151,6 +163,7 @@
 	return settings{
 		grace:        10 * time.Second,
 		aging:        30 * time.Second,
+		agingBelow:   2 * time.Second,
 		reserveFor:   2 * time.Minute,
 		backoff:      500 * time.Millisecond,
 		maxBackoff:   30 * time.Second,
@@ -179,6 +192,7 @@
 		jobs:     map[JobID]*jobRecord{},
 		services: map[serviceKey]*serviceRecord{},
 		spread:   map[spreadKey]int{},
+		version:  1,
 	}
 	e.view = newView(e.fleet, e.spread, s)
 	return e
@@ -189,6 +203,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fleet.set(w)
+	e.changed()
+}
+
+// changed has everything that was blocked tried again.
+func (e *Engine) changed() {
+	e.version++
+	e.onlyFreed = false
+}
+
+// gaveBack has what fits the worker tried again.
+func (e *Engine) gaveBack(w *worker) {
+	e.version++
+	e.freed = append(e.freed, w)
 }
 
 // CloseWorker has a worker get no new work.
@@ -224,6 +251,7 @@
 	defer e.mu.Unlock()
 	record := e.team(t.Name)
 	lowered := !record.Limit.Fits(t.Limit)
+	e.changed()
 	record.Team = t
 	if lowered {
 		e.doubtAll(record)
@@ -512,6 +540,7 @@
 		return
 	}
 	e.fleet.take(r)
+	e.gaveBack(r.worker)
 	e.countSpread(r, -1)
 	team := e.team(job.Team)
 	if now.IsZero() {
--- a/pkg/sched/health.go
+++ b/pkg/sched/health.go
@@ -158,6 +158,7 @@
 	h.blame = 0
 	h.jobs = h.jobs[:0]
 	e.fleet.update(w)
+	e.changed()
 }
 
 // Quarantined returns the ids of the workers in quarantine.
--- a/pkg/sched/queue.go
+++ b/pkg/sched/queue.go
@@ -42,8 +42,10 @@
 	shape shape
 	items []*item
 	head  int
-	// blocked is the last round in which the oldest item did not fit.
+	// blocked is the version of the fleet in which the oldest item was last
+	// tried in vain, and noRoom whether that was for want of room alone.
 	blocked uint64
+	noRoom  bool
 }
 
 func (q *shapeQueue) push(it *item) {
@@ -121,6 +123,7 @@
 	if q == nil {
 		return
 	}
+	q.blocked = 0
 	if q.oldest() == nil {
 		t.forget(q)
 		return
--- a/pkg/sched/reserve.go
+++ b/pkg/sched/reserve.go
@@ -11,6 +11,13 @@
 // ageEvery is how often the oldest waiting work is looked for.
 const ageEvery = 100 * time.Millisecond
 
+const (
+	// clearlyBelow is the part of its share below which a team has clearly
+	// less than it.
+	clearlyBelow = 0.8
+	minWeight    = 1e-6
+)
+
 // age reserves workers for the oldest work that has waited too long. A
 // reserved worker takes nothing else, so that it empties whatever its tasks
 // were declared to take; the wait of the work it is kept for is bounded by
@@ -48,9 +55,13 @@
 func (e *Engine) oldestWaiting(now time.Time) *item {
 	var oldest *item
 	for _, team := range e.round0() {
+		bound := e.settings.aging
+		if e.belowShare(team) {
+			bound = e.settings.agingBelow
+		}
 		for _, q := range team.shapes {
 			it := q.oldest()
-			if it == nil || len(it.job.reserved) > 0 || now.Sub(it.since) < e.settings.aging {
+			if it == nil || len(it.job.reserved) > 0 || now.Sub(it.since) < bound {
 				continue
 			}
 			if !team.fits(it.job.Room.Times(it.tasks())) {
@@ -76,6 +87,19 @@
 	return e.round
 }
 
+// belowShare tells whether the team has clearly less than its share among
+// the teams that have work.
+func (e *Engine) belowShare(team *teamRecord) bool {
+	weights := 0.0
+	for _, other := range e.teams {
+		if other.waiting > 0 || !other.used.IsZero() {
+			weights += max(other.Weight, minWeight)
+		}
+	}
+	share := max(team.Weight, minWeight) / weights
+	return team.used.Dominant(e.fleet.total) < clearlyBelow*share
+}
+
 func (it *item) tasks() int {
 	if it.job.Kind == KindGang {
 		return len(it.job.tasks)
@@ -191,6 +215,7 @@
 	for _, w := range job.reserved {
 		if w.reservedFor == job.ID {
 			e.fleet.unreserve(w)
+			e.gaveBack(w)
 		}
 	}
 	job.reserved = nil
