Let a team below its share take room back from preemptible work

Cause: gangs of a team at a fiftieth of its share waited for reserved workers to empty. Change: a reservation for such a team has preemptible, idempotent work of teams that are not below theirs checkpoint and make way.

--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -9,6 +9,7 @@
 	policyReserved = "reserved"
 	policyProbe    = "probe"
 	policyUrgent   = "urgent"
+	policyShare    = "share"
 )
 
 // Decide returns the next decisions, at most so many. What it places counts
--- a/pkg/sched/fleet.go
+++ b/pkg/sched/fleet.go
@@ -57,14 +57,13 @@
 
 // running is an attempt that takes room on a worker.
 type running struct {
-	key      taskKey
-	attempt  uint32
-	room     quota.Room
-	team     string
-	service  string
-	victim   bool
-	stopping bool
-	worker   *worker
+	key     taskKey
+	attempt uint32
+	room    quota.Room
+	team    string
+	service string
+	victim  bool
+	worker  *worker
 }
 
 func newFleet(makeTree func(places int) index) *fleet {
--- a/pkg/sched/preempt.go
+++ b/pkg/sched/preempt.go
@@ -81,17 +81,7 @@
 		Wait:   now.Sub(job.Submitted),
 	}
 	for _, r := range victims {
-		e.fleet.spare(r)
-		r.stopping = true
-		if owner := e.jobs[r.key.job]; owner != nil {
-			owner.tasks[r.key.task].preempted++
-		}
-		d.Victims = append(d.Victims, Victim{
-			Job:     r.key.job,
-			Task:    r.key.task,
-			Attempt: r.attempt,
-			Worker:  w.ID,
-		})
+		d.Victims = append(d.Victims, e.spareVictim(r))
 	}
 	e.fleet.reserve(w, job.ID)
 	job.reserved = []*worker{w}
@@ -101,6 +91,21 @@
 	return true
 }
 
+// spareVictim marks an attempt as about to be stopped, so that it is chosen
+// no more, and counts how often its task has had to go.
+func (e *Engine) spareVictim(r *running) Victim {
+	e.fleet.spare(r)
+	if owner := e.jobs[r.key.job]; owner != nil {
+		owner.tasks[r.key.task].preempted++
+	}
+	return Victim{
+		Job:     r.key.job,
+		Task:    r.key.task,
+		Attempt: r.attempt,
+		Worker:  r.worker.ID,
+	}
+}
+
 // fewestVictims samples workers on which the room could be made.
 func (e *Engine) fewestVictims(room quota.Room) (*worker, []*running) {
 	var best *worker
@@ -128,12 +133,18 @@
 	return best, fewest
 }
 
-// victimsOn returns the fewest attempts whose room makes the need fit: the
-// largest first, as each of them frees the most.
+// victimsOn returns the fewest attempts whose room makes the need fit.
 func victimsOn(w *worker, need quota.Room) []*running {
+	return victimsFor(w, need, 1, func(r *running) bool { return r.victim })
+}
+
+// victimsFor returns the fewest of the attempts that may go, the largest
+// first, as each of them frees the most. It returns what there is when that
+// does not suffice.
+func victimsFor(w *worker, need quota.Room, slots int, may func(*running) bool) []*running {
 	var able []*running
 	for _, r := range w.running {
-		if r.victim {
+		if may(r) {
 			able = append(able, r)
 		}
 	}
@@ -145,15 +156,15 @@
 		return able[i].key.job > able[j].key.job
 	})
 	free := w.freeRoom()
-	slots := w.Slots - w.slots
+	left := w.Slots - w.slots
 	var victims []*running
 	for _, r := range able {
-		if need.Fits(free) && slots > 0 {
+		if need.Fits(free) && left >= slots {
 			break
 		}
 		victims = append(victims, r)
 		free = free.Add(r.room)
-		slots++
+		left++
 	}
 	return victims
 }
--- a/pkg/sched/reserve.go
+++ b/pkg/sched/reserve.go
@@ -129,9 +129,48 @@
 	job.reserved = chosen
 	job.reserve = now
 	e.holders = append(e.holders, job)
+	if e.belowShare(e.team(job.Team)) {
+		e.reclaim(it, now)
+	}
 	return true
 }
 
+// reclaim has preemptible work of teams that are not below their share make
+// way on the reserved workers, so that a team below its share need not wait
+// for that work to end.
+func (e *Engine) reclaim(it *item, now time.Time) {
+	job := it.job
+	room := e.expectedRoom(job.Job)
+	need := it.tasks()
+	var victims []Victim
+	for _, w := range job.reserved {
+		here := min(need, fitsEmpty(w, room))
+		need -= here
+		for _, r := range e.reclaimable(w, room, here) {
+			victims = append(victims, e.spareVictim(r))
+		}
+	}
+	if len(victims) == 0 {
+		return
+	}
+	e.out = append(e.out, Decision{
+		Verb:    VerbPreempt,
+		Job:     job.ID,
+		Team:    job.Team,
+		Policy:  policyShare,
+		Victims: victims,
+		Wait:    now.Sub(job.Submitted),
+	})
+}
+
+// reclaimable returns the fewest victims on the worker that make room for so
+// many tasks.
+func (e *Engine) reclaimable(w *worker, room quota.Room, tasks int) []*running {
+	return victimsFor(w, room.Times(tasks), tasks, func(r *running) bool {
+		return r.victim && !e.belowShare(e.team(r.team))
+	})
+}
+
 // byUse returns the workers that would hold the room when empty, those with
 // the least in use first.
 func (e *Engine) byUse(room quota.Room, avoid string) []*worker {
