Replay and draw traces from jasload

Cause: the replay could only be read through its test. Change: -replay prints the table beside the baseline, -plot draws waiting, packing and share into SVG. A task avoids its last worker only after a failure there, and only while another is large enough: a test showed work that could run on one worker alone left waiting for good.

--- a/cmd/jasload/main.go
+++ b/cmd/jasload/main.go
@@ -45,6 +45,8 @@
 	delay     time.Duration
 	kill      time.Duration
 	asJSON    bool
+	replay    string
+	plot      string
 }
 
 func parse() flags {
@@ -61,12 +63,20 @@
 	flag.DurationVar(&f.delay, "delay", 0, "delay one way between the instances started here")
 	flag.DurationVar(&f.kill, "kill-leader", 0, "kill the leader of the cell started here after this time")
 	flag.BoolVar(&f.asJSON, "json", false, "print one JSON object")
+	flag.StringVar(&f.replay, "replay", "", "replay a trace `file`, beside the baseline")
+	flag.StringVar(&f.plot, "plot", "", "draw the replay of a trace `file` into SVG files here")
 	flag.Parse()
 	return f
 }
 
 func run() int {
 	f := parse()
+	switch {
+	case f.replay != "":
+		return runReplay(f.replay, false, f.asJSON)
+	case f.plot != "":
+		return runReplay(f.plot, true, f.asJSON)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	options, err := optionsOf(f)
--- a/internal/ledger/oracle_test.go
+++ b/internal/ledger/oracle_test.go
@@ -51,7 +51,6 @@
 	gang       bool
 	released   bool
 	ending     bool
-	startBy    Millis
 	tasks      []*modelTask
 	outcome    Outcome
 }
--- a/internal/trace/record.go
+++ b/internal/trace/record.go
@@ -205,7 +205,8 @@
 
 // morningPeak is a broad hill around a third of the time.
 func morningPeak(part float64) float64 {
-	return 0.2 + 4*math.Exp(-math.Pow((part-0.35)/0.12, 2))
+	distance := (part - 0.35) / 0.12
+	return 0.2 + 4*math.Exp(-distance*distance)
 }
 
 // walkRush is a sharp peak before each of three walks.
--- a/pkg/sched/decide.go
+++ b/pkg/sched/decide.go
@@ -156,7 +156,7 @@
 	if !ok {
 		return false
 	}
-	e.view.avoid = job.tasks[it.task].last
+	e.view.avoid = e.avoid(job, it.task)
 	e.view.service = e.service(job.Team, job.Service)
 	declared := job.Room
 	job.Room = e.expectedRoom(job.Job)
@@ -171,6 +171,23 @@
 	return true
 }
 
+// avoid returns the worker on which the task failed last, so that it is not
+// tried there twice in a row, unless no other worker is large enough.
+func (e *Engine) avoid(job *jobRecord, task int) string {
+	record := &job.tasks[task]
+	w := e.fleet.byID[record.last]
+	if record.failures == 0 || w == nil {
+		return ""
+	}
+	need := vectorOf(job.Room, 1)
+	others := e.fleet.capacity.find(need, 0, w.place) >= 0 ||
+		e.fleet.capacity.find(need, w.place+1, len(e.fleet.places)) >= 0
+	if !others {
+		return ""
+	}
+	return record.last
+}
+
 // leavesHeadroom keeps room for services from everything that can wait.
 func (e *Engine) leavesHeadroom(job *jobRecord, tasks int) bool {
 	if job.Kind == KindService || e.settings.headroom <= 0 {
--- /dev/null
+++ b/pkg/sched/example_test.go
@@ -0,0 +1,83 @@
+package sched_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/sched"
+)
+
+func ExampleEngine() {
+	now := time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+	engine := sched.NewEngine()
+	engine.SetWorker(sched.Worker{
+		ID:     "ba-1",
+		Domain: "ba",
+		Rack:   "ba-rack-1",
+		Slots:  8,
+		Capacity: quota.Room{
+			CPU:    64000,
+			Memory: 131072,
+		},
+	})
+	engine.SetTeam(sched.Team{
+		Name:   "dispatch",
+		Weight: 1,
+		Limit: quota.Room{
+			CPU:    64000,
+			Memory: 131072,
+		},
+	})
+	engine.Submit(sched.Job{
+		ID:        1,
+		Team:      "dispatch",
+		Service:   "pickups",
+		Kind:      sched.KindService,
+		Tasks:     1,
+		Submitted: now,
+		Room: quota.Room{
+			CPU:    500,
+			Memory: 256,
+		},
+	})
+	for _, d := range engine.Decide(now, 10) {
+		fmt.Println("job", d.Job, "goes to", d.Spots[0].Worker, "by the policy for", d.Policy)
+	}
+	// Output: job 1 goes to ba-1 by the policy for service
+}
+
+// onlyDomain is a policy of an embedder's own: it uses one failure domain.
+type onlyDomain struct{}
+
+func (onlyDomain) Name() string { return "first-domain" }
+
+func (onlyDomain) Takes(job *sched.Job) bool { return job.Service == "local" }
+
+func (onlyDomain) Choose(view *sched.View, job *sched.Job, _ int) ([]sched.Place, bool) {
+	place, ok := view.Next(job, view.DomainsByRoom()[0])
+	return view.One(place), ok
+}
+
+func ExampleWithPolicy() {
+	engine := sched.NewEngine(sched.WithPolicy(onlyDomain{}, 50))
+	engine.SetWorker(sched.Worker{
+		ID:       "w1",
+		Slots:    1,
+		Capacity: quota.Room{CPU: 1000},
+	})
+	engine.SetTeam(sched.Team{
+		Name:  "a",
+		Limit: quota.Room{CPU: 1000},
+	})
+	engine.Submit(sched.Job{
+		ID:      1,
+		Team:    "a",
+		Service: "local",
+		Kind:    sched.KindBatch,
+		Tasks:   1,
+		Room:    quota.Room{CPU: 100},
+	})
+	fmt.Println(engine.Decide(time.Unix(0, 0), 1)[0].Policy)
+	// Output: first-domain
+}
--- a/pkg/sched/health.go
+++ b/pkg/sched/health.go
@@ -129,7 +129,7 @@
 			if it == nil || it.job.Kind == KindGang || it.job.Urgent || !it.job.Idempotent {
 				continue
 			}
-			if it.job.tasks[it.task].last == w.ID || !team.fits(it.job.Room) {
+			if e.avoid(it.job, it.task) == w.ID || !team.fits(it.job.Room) {
 				continue
 			}
 			if e.expectedRoom(it.job.Job).Fits(w.freeRoom()) && w.slots < w.Slots {
--- a/pkg/sched/reserve.go
+++ b/pkg/sched/reserve.go
@@ -113,7 +113,7 @@
 	need := it.tasks()
 	room := e.expectedRoom(job.Job)
 	var chosen []*worker
-	for _, w := range e.byUse(room, job.tasks[it.task].last) {
+	for _, w := range e.byUse(room, e.avoid(job, it.task)) {
 		if need <= 0 {
 			break
 		}
