Give targets time to turn to another instance

Cause: a test that cuts the leader off without a word had targets lose their leases: a poll waited up to 2 s whatever the lease, and was tried on the instance that is cut off for 2 s more. Streams of the log were given up only after 64 unanswered calls. Change: a poll waits a third of the lease at most and is tried little longer; a stream without an answer for 1 s is opened anew.

--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -21,10 +21,12 @@
 )
 
 const (
-	pollWait    = 2 * time.Second
-	pollTimeout = 4 * time.Second
+	callTimeout = 4 * time.Second
 	retryPause  = 50 * time.Millisecond
-	watchEvery  = 50 * time.Millisecond
+	// A poll waits a third of the lease, and is given up after half of it.
+	waitParts    = 3
+	timeoutParts = 2
+	watchEvery   = 50 * time.Millisecond
 )
 
 // Work is a stand-in task, carried as JSON in a job's payload.
@@ -68,6 +70,7 @@
 
 	mu      sync.Mutex
 	session string
+	ttl     time.Duration
 	tasks   map[ledger.Attempt]*task
 	events  []ledger.Event
 	leaving bool
@@ -169,7 +172,7 @@
 	t.session = session
 	t.lease.Drop()
 	t.mu.Unlock()
-	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	sent := time.Now()
 	answer, err := t.client.Announce(ctx, t.cfg.ID, entry.AnnounceRequest{
@@ -182,21 +185,26 @@
 	if err != nil {
 		return false
 	}
-	t.lease.Extend(sent, time.Duration(answer.LeaseMillis)*time.Millisecond)
+	ttl := time.Duration(answer.LeaseMillis) * time.Millisecond
+	t.lease.Extend(sent, ttl)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ttl = ttl
 	return true
 }
 
 // pollOnce polls, and tells false when a new session is needed.
 func (t *Target) pollOnce() bool {
-	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
-	defer cancel()
 	t.mu.Lock()
+	ttl := t.ttl
 	request := entry.PollRequest{
 		Session: t.session,
 		Known:   t.known(),
-		Wait:    note.Duration(pollWait),
+		Wait:    note.Duration(ttl / waitParts),
 	}
 	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.ctx, ttl/timeoutParts)
+	defer cancel()
 	sent := time.Now()
 	answer, err := t.client.Poll(ctx, t.cfg.ID, request)
 	if err != nil {
@@ -444,7 +452,7 @@
 	if len(events) == 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	_, err := t.client.Report(ctx, t.cfg.ID, entry.ReportRequest{
 		Session: session,
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -49,10 +49,12 @@
 	return route(ctx, n.router, wire.MethodAnnounce, &args, 0, c.Announce)
 }
 
-// Poll renews a target's lease and brings its orders. It is tried only for
-// as long as the target would wait.
+// Poll renews a target's lease and brings its orders. It is tried for little
+// longer than the target would wait, so that the target can turn to another
+// instance before its lease ends.
 func (n *Node) Poll(ctx context.Context, args wire.PollArgs) (wire.PollReply, *wire.Fault) {
-	ctx, cancel := context.WithTimeout(ctx, args.Wait+callSlack)
+	args.Wait = min(args.Wait, n.cfg.Timing.Lease.TTL/pollParts)
+	ctx, cancel := context.WithTimeout(ctx, args.Wait+n.cfg.Timing.Election)
 	defer cancel()
 	c := &calls{node: n}
 	return route(ctx, n.router, wire.MethodPoll, &args, args.Wait, c.Poll)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -134,7 +134,7 @@
 
 func (l *leader) feed(args wire.FeedArgs) (wire.FeedReply, *wire.Fault) {
 	gap := l.seen(args)
-	timer := time.NewTimer(min(max(args.Wait, 0), maxPollWait))
+	timer := time.NewTimer(min(max(args.Wait, 0), feedWait))
 	defer timer.Stop()
 	for {
 		raised := l.noteUp.wait()
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxPollWait is below the lease's length, so that a target polls in
-	// time to renew it.
-	maxPollWait  = 2 * time.Second
+	// pollParts is the part of the lease, one in so many, that a poll waits
+	// at most, so that there is time for others if it is lost.
+	pollParts    = 3
 	sessionRetry = 500 * time.Millisecond
 )
 
@@ -87,7 +87,7 @@
 	l.granter.Grant(key, received)
 	l.node.meter.Polls.Inc()
 	l.observeUsage(args)
-	timer := time.NewTimer(min(max(args.Wait, 0), maxPollWait))
+	timer := time.NewTimer(min(max(args.Wait, 0), l.granter.Terms().TTL/pollParts))
 	defer timer.Stop()
 	box := l.box(args.Target)
 	for {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -18,7 +18,7 @@
 	methodPiece   = LogService + ".Piece"
 	pieceBytes    = 256 << 10
 	pieceTimeout  = 5 * time.Second
-	stepTimeout   = 2 * time.Second
+	stepTimeout   = time.Second
 	sendCapacity  = 4096
 	batchMessages = 512
 	inFlight      = 64
@@ -123,51 +123,51 @@
 }
 
 // run sends what is queued, in batches and without waiting for each answer.
+// A connection on which answers are due and none comes is given up.
 func (t *LogTransport) run(ctx context.Context, l *link) {
 	defer t.done.Done()
 	defer l.client.Close()
 	answers := make(chan *rpc.Call, inFlight)
 	outstanding := 0
+	answered := time.Now()
+	ticker := time.NewTicker(stepTimeout / 4)
+	defer ticker.Stop()
 	for {
+		queue := l.queue
+		if outstanding >= inFlight {
+			queue = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			if outstanding > 0 && time.Since(answered) > stepTimeout {
+				l.client.Reset()
+				answered = time.Now()
+			}
 		case call := <-answers:
 			outstanding--
+			answered = time.Now()
 			if call.Error != nil {
 				l.client.Reset()
 			}
-		case m := <-l.queue:
-			if outstanding >= inFlight && !t.drain(ctx, l, answers, &outstanding) {
-				continue
-			}
-			args := &StepArgs{
-				Cell:     t.cell,
-				Messages: gather(m, l.queue),
+		case m := <-queue:
+			if outstanding == 0 {
+				answered = time.Now()
 			}
-			if l.client.Start(ctx, methodStep, args, &Empty{}, answers) == nil {
+			if t.start(ctx, l, m, answers) {
 				outstanding++
 			}
 		}
 	}
 }
 
-// drain waits for one answer. Without one the connection is given up.
-func (t *LogTransport) drain(ctx context.Context, l *link, answers chan *rpc.Call, outstanding *int) bool {
-	timer := time.NewTimer(stepTimeout)
-	defer timer.Stop()
-	select {
-	case call := <-answers:
-		*outstanding--
-		if call.Error != nil {
-			l.client.Reset()
-		}
-		return true
-	case <-timer.C:
-		l.client.Reset()
-	case <-ctx.Done():
+func (t *LogTransport) start(ctx context.Context, l *link, first raft.Message, answers chan *rpc.Call) bool {
+	args := &StepArgs{
+		Cell:     t.cell,
+		Messages: gather(first, l.queue),
 	}
-	return false
+	return l.client.Start(ctx, methodStep, args, &Empty{}, answers) == nil
 }
 
 func gather(first raft.Message, queue chan raft.Message) []raft.Message {
