Send callers on from an instance that is cut off

Cause: an instance without a leader kept a waiting caller for up to its whole wait and 10 s more. Change: once its configuration is stale it answers that it is unavailable, and the caller turns to another instance.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -279,6 +279,11 @@
 	if !r.budget.Allow() {
 		return unavailable("too many retries")
 	}
+	if _, fresh := r.node.Config(); !fresh {
+		// Another instance may be better placed, so the caller should not
+		// be kept here.
+		return unavailable("no leader heard from lately")
+	}
 	r.node.meter.Retries.Inc()
 	pause := *backoff/2 + rand.N(*backoff)
 	*backoff = min(2*(*backoff), maxBackoff)
