Test the daemon as processes

Cause: failures were brought about only inside one process. Change: three real processes under 200 jobs a second, killed, paused past their lease and terminated; settings, folder lock and secrets checked.

--- /dev/null
+++ b/cmd/jasmined/process_test.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/client"
+	"github.com/jasmineward/jasmineward/internal/load"
+	"github.com/jasmineward/jasmineward/internal/note"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(testMain(m))
+}
+
+func testMain(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "jasmined-")
+	if err != nil {
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "jasmined")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %s\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one jasmined.
+type process struct {
+	c       *qt.C
+	name    string
+	file    string
+	log     string
+	callers string
+	targets string
+	opers   string
+	cmd     *exec.Cmd
+}
+
+// processes starts a cell of three.
+func processes(t *testing.T) []*process {
+	c := qt.New(t)
+	dir := t.TempDir()
+	var peers []string
+	for range 3 {
+		peers = append(peers, freeAddress(c))
+	}
+	var all []*process
+	for i, domain := range []string{"ba", "nadi", "sigatoka"} {
+		p := &process{
+			c:       c,
+			name:    fmt.Sprintf("i%d", i+1),
+			callers: freeAddress(c),
+			targets: freeAddress(c),
+			opers:   freeAddress(c),
+		}
+		p.file = filepath.Join(dir, p.name+".toml")
+		p.log = filepath.Join(dir, p.name+".log")
+		settings := fmt.Sprintf(`name = %q
+failure-domain = %q
+data-folder = %q
+[peers]
+listen = %q
+addresses = [%q, %q, %q]
+[callers]
+listen = %q
+[targets]
+listen = %q
+[operators]
+listen = %q
+[timing]
+balancer-wait = "100ms"
+`, p.name, domain, filepath.Join(dir, p.name), peers[i], peers[0], peers[1], peers[2], p.callers, p.targets, p.opers)
+		c.Assert(os.WriteFile(p.file, []byte(settings), 0o600), qt.IsNil)
+		p.start(i == 0)
+		all = append(all, p)
+		t.Cleanup(p.kill)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for {
+		cell, err := operators(all).Cell(ctx)
+		voters := 0
+		for _, m := range cell.Members {
+			if m.Voter {
+				voters++
+			}
+		}
+		if err == nil && voters == 3 && len(cell.Instances) == 3 {
+			return all
+		}
+		c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("cell does not form: %v", err))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (p *process) start(form bool) {
+	args := []string{"-config", p.file}
+	if form {
+		args = append(args, "-form-cell")
+	}
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	p.c.Assert(err, qt.IsNil)
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(binary, args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.c.Assert(p.cmd.Start(), qt.IsNil)
+}
+
+func (p *process) kill() {
+	if p.cmd != nil {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		p.cmd = nil
+	}
+}
+
+func bases(all []*process, address func(*process) string) []string {
+	var urls []string
+	for _, p := range all {
+		urls = append(urls, "http://"+address(p))
+	}
+	return urls
+}
+
+func operators(all []*process) *client.Client {
+	return client.New(bases(all, func(p *process) string { return p.opers }))
+}
+
+func leaderOf(c *qt.C, all []*process) *process {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	cell, err := operators(all).Cell(ctx)
+	c.Assert(err, qt.IsNil)
+	for _, p := range all {
+		if p.name == cell.Leader {
+			return p
+		}
+	}
+	c.Fatalf("no leader")
+	return nil
+}
+
+// drive runs the sample workload at a rate while something happens to the
+// processes, and sees that every promise held.
+func drive(t *testing.T, all []*process, happen func()) load.Report {
+	c := qt.New(t)
+	base, err := load.SampleNote()
+	c.Assert(err, qt.IsNil)
+	workload, err := load.ReadWorkload(filepath.Join("..", "..", "internal", "load", "testdata", "bench.toml"))
+	c.Assert(err, qt.IsNil)
+	workload.Fleet[0].Workers = 8
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	runner := load.NewRunner(load.Cell{
+		Callers: func(key string) *client.Client {
+			return client.New(bases(all, func(p *process) string { return p.callers }), client.WithCredential(key))
+		},
+		Targets:   client.New(bases(all, func(p *process) string { return p.targets })),
+		Operators: operators(all),
+	}, workload)
+	defer runner.Close()
+	c.Assert(runner.Prepare(ctx, base), qt.IsNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(time.Second)
+		happen()
+	}()
+	runner.RunRate(ctx, 200, 4*time.Second)
+	<-done
+	report := runner.Report()
+	c.Check(report.Broken(), qt.IsFalse, qt.Commentf("%+v", report))
+	c.Check(report.Answered, qt.Equals, report.Jobs)
+	return report
+}
+
+// TestKillLeader kills the leading process with SIGKILL under load, and a
+// second one after the repair.
+func TestKillLeader(t *testing.T) {
+	all := processes(t)
+	drive(t, all, func() {
+		for range 2 {
+			leader := leaderOf(qt.New(t), all)
+			leader.kill()
+			time.Sleep(1200 * time.Millisecond)
+			leader.start(false)
+			time.Sleep(800 * time.Millisecond)
+		}
+	})
+}
+
+// TestPauseLeader stops the leading process with SIGSTOP for longer than its
+// lease, and lets it go on.
+func TestPauseLeader(t *testing.T) {
+	all := processes(t)
+	drive(t, all, func() {
+		leader := leaderOf(qt.New(t), all)
+		_ = leader.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(2500 * time.Millisecond)
+		_ = leader.cmd.Process.Signal(syscall.SIGCONT)
+	})
+}
+
+// TestTerminate ends a process with SIGTERM under load: no request is cut
+// and it exits with 0.
+func TestTerminate(t *testing.T) {
+	all := processes(t)
+	drive(t, all, func() {
+		leader := leaderOf(qt.New(t), all)
+		_ = leader.cmd.Process.Signal(syscall.SIGTERM)
+		err := leader.cmd.Wait()
+		qt.Check(t, err, qt.IsNil)
+		leader.cmd = nil
+		leader.start(false)
+	})
+}
+
+// TestSecretStaysOut looks for the secret of a key in every file and log.
+func TestSecretStaysOut(t *testing.T) {
+	c := qt.New(t)
+	all := processes(t)
+	shown, key, err := note.NewSecret("secret-key", "dispatch")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err = operators(all).ApplyNote(ctx, note.Note{
+		Number: 1,
+		Changes: []note.Change{
+			{
+				Op:   note.OpAdd,
+				Team: &note.Team{Name: "dispatch"},
+			},
+			{
+				Op:  note.OpAdd,
+				Key: &key,
+			},
+		},
+	}, false, 5*time.Second)
+	c.Assert(err, qt.IsNil)
+	callers := client.New(bases(all, func(p *process) string { return p.callers }), client.WithCredential(shown))
+	_, err = callers.List(ctx, false, 1)
+	c.Assert(err, qt.IsNil)
+	for _, p := range all {
+		p.kill()
+	}
+	secret := []byte(strings.SplitN(shown, ".", 3)[2])
+	files := 0
+	err = filepath.WalkDir(filepath.Dir(all[0].file), func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		files++
+		c.Check(bytes.Contains(data, secret), qt.IsFalse, qt.Commentf("%s", path))
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(files > 9, qt.IsTrue)
+}
+
+// TestSettings sees wrong settings listed with file, line and key.
+func TestSettings(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "bad.toml")
+	c.Assert(os.WriteFile(path, []byte(`name = "Bad Name"
+failure-domain = "ba"
+colour = "blue"
+[peers]
+listen = "127.0.0.1:7000"
+[callers]
+listen = "127.0.0.1:7000"
+[targets]
+listen = "somewhere:80"
+[operators]
+listen = "127.0.0.1:7003"
+[timing]
+election = 500
+heartbeat = "400ms"
+`), 0o600), qt.IsNil)
+	out, err := exec.Command(binary, "-config", path, "-check").CombinedOutput()
+	exit, ok := err.(*exec.ExitError) //nolint:errorlint // The type is what is tested.
+	c.Assert(ok, qt.IsTrue)
+	c.Check(exit.ExitCode(), qt.Equals, exitSettings)
+	for _, want := range []string{
+		"bad.toml:1: name:", "bad.toml:3: colour: is not a setting", "bad.toml:7: callers.listen:",
+		"bad.toml:9: targets.listen:", "bad.toml:13: timing.election:", "bad.toml:14: timing.heartbeat:",
+	} {
+		c.Check(strings.Contains(string(out), want), qt.IsTrue, qt.Commentf("%q is not in\n%s", want, out))
+	}
+}
+
+// TestFolderLock starts a second process on the data folder of a first.
+func TestFolderLock(t *testing.T) {
+	all := processes(t)
+	out, err := exec.Command(binary, "-config", all[0].file).CombinedOutput()
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, strings.Contains(string(out), "in use"), qt.IsTrue, qt.Commentf("%s", out))
+}
