Bound the time of a body that is not read

Cause: a test with a body that never ends held its connection open: the deadline was lifted before the rest of the body was waited for. Change: the deadline stands from the start of a request with a body, and is lifted only once the body has come whole.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -41,6 +41,7 @@
 		select {
 		case g.open <- struct{}{}:
 			defer func() { <-g.open }()
+			g.boundBody(w, r)
 			r.Body = http.MaxBytesReader(recorder, r.Body, g.limits.BodyBytes)
 			next.ServeHTTP(recorder, r)
 		default:
@@ -53,6 +54,15 @@
 	})
 }
 
+// boundBody sets the time by which a body must have come, whether it is read
+// or not: what is left of it is read when the answer has been written. A
+// request without a body may wait for its answer beyond that.
+func (g *guard) boundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.limits.Body))
+	}
+}
+
 type statusRecorder struct {
 	http.ResponseWriter
 	status int
@@ -71,13 +81,12 @@
 
 // readBody reads a whole JSON body of known fields within the limits.
 func (g *guard) readBody(w http.ResponseWriter, r *http.Request, into any) *wire.Fault {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(g.limits.Body))
 	data, err := io.ReadAll(r.Body)
-	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return bodyFault(err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
