--- /dev/null
+++ b/pkg/dedup/dedup_test.go
@@ -0,0 +1,42 @@
+package dedup_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/pkg/dedup"
+)
+
+var window = dedup.Window{
+	Past:  10 * time.Minute,
+	Ahead: time.Minute,
+}
+
+func TestWindow(t *testing.T) {
+	c := qt.New(t)
+	id, err := dedup.NewID()
+	c.Assert(err, qt.IsNil)
+	now := time.Now()
+	c.Check(window.Check(id, now), qt.IsNil)
+	c.Check(window.Check(id, now.Add(11*time.Minute)), qt.Equals, dedup.ErrTooOld)
+	c.Check(window.Check(id, now.Add(-2*time.Minute)), qt.Equals, dedup.ErrAhead)
+	c.Check(window.Forgettable(id, now.Add(9*time.Minute)), qt.IsFalse)
+	c.Check(window.Forgettable(id, now.Add(11*time.Minute)), qt.IsTrue)
+	for _, bad := range []string{"", "x", "6ba7b810-9dad-11d1-80b4-00c04fd430c8", "{" + id + "}"} {
+		c.Check(window.Check(bad, now), qt.Equals, dedup.ErrBadID, qt.Commentf("%q", bad))
+	}
+}
+
+func ExampleWindow() {
+	made, err := dedup.Time("01932c07-6f00-7000-8000-000000000001")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	err = window.Check("01932c07-6f00-7000-8000-000000000001", made.Add(time.Hour))
+	fmt.Println(err)
+	// Output: request id is older than the retry window
+}
