Measure what things cost and work out the planned size

Cause: the capacity page has to rest on slopes. Change: jasload -slopes fits state, decisions, applies, calls, requests, log lines and syncs at three sizes or more, three runs each; roles are worked out from them, and runs of whole cells stand beside. Figures: in docs/capacity.json. Conclusion: the page is made from the file.

--- a/cmd/jasload/main.go
+++ b/cmd/jasload/main.go
@@ -47,6 +47,9 @@
 	asJSON    bool
 	replay    string
 	plot      string
+	slopes    bool
+	held      string
+	capacity  string
 }
 
 func parse() flags {
@@ -65,6 +68,9 @@
 	flag.BoolVar(&f.asJSON, "json", false, "print one JSON object")
 	flag.StringVar(&f.replay, "replay", "", "replay a trace `file`, beside the baseline")
 	flag.StringVar(&f.plot, "plot", "", "draw the replay of a trace `file` into SVG files here")
+	flag.BoolVar(&f.slopes, "slopes", false, "measure what things cost, and write it into the capacity file")
+	flag.StringVar(&f.held, "held", "", "add the cost of this run of a running cell to the capacity file, under the `name`")
+	flag.StringVar(&f.capacity, "capacity", "docs/capacity.json", "capacity `file`")
 	flag.Parse()
 	return f
 }
@@ -74,6 +80,8 @@
 	switch {
 	case f.replay != "":
 		return runReplay(f.replay, false, f.asJSON)
+	case f.slopes:
+		return runSlopes(f.capacity)
 	case f.plot != "":
 		return runReplay(f.plot, true, f.asJSON)
 	}
@@ -89,6 +97,12 @@
 		fmt.Fprintln(os.Stderr, "jasload:", err)
 		return exitFailed
 	}
+	if f.held != "" {
+		if err := addHeld(f.capacity, f.held, options, report); err != nil {
+			fmt.Fprintln(os.Stderr, "jasload:", err)
+			return exitFailed
+		}
+	}
 	if f.asJSON {
 		if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
 			return exitFailed
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 		}
 		secure = certs.Server()
 	}
-	return entry.Open(name, endpoint.Listen, handler, limits, secure, d.log)
+	return entry.Open(name, endpoint.Listen, handler, limits, secure, d.log, d.node.Meter())
 }
 
 func readToken(path string) (string, error) {
--- a/internal/entry/bad_test.go
+++ b/internal/entry/bad_test.go
@@ -155,7 +155,7 @@
 	limits := entry.DefaultLimits()
 	limits.Header = 200 * time.Millisecond
 	limits.Body = 200 * time.Millisecond
-	listener, err := entry.Open("callers", "127.0.0.1:0", entry.Callers(backend, limits), limits, nil, nil)
+	listener, err := entry.Open("callers", "127.0.0.1:0", entry.Callers(backend, limits), limits, nil, nil, backend.meter)
 	qt.Assert(t, err, qt.IsNil)
 	defer listener.Close()
 	for _, sent := range []string{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,13 +82,17 @@
 // Open opens the address and serves the handler there. A TLS configuration
 // of nil means plain HTTP.
 func Open(
-	name, address string, handler http.Handler, limits Limits, config *tls.Config, log *logrus.Logger,
+	name, address string, handler http.Handler, limits Limits, config *tls.Config,
+	log *logrus.Logger, m *meter.Meter,
 ) (*Listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	limited := netutil.LimitListener(socket, limits.Connections)
+	limited := netutil.LimitListener(counting{
+		Listener: socket,
+		meter:    m,
+	}, limits.Connections)
 	if config != nil {
 		limited = tls.NewListener(limited, config)
 	}
@@ -136,3 +140,40 @@
 	_ = l.server.Close()
 	<-l.done
 }
+
+// counting counts the bytes of the connections that it accepts.
+type counting struct {
+	net.Listener
+	meter *meter.Meter
+}
+
+// Accept accepts a connection.
+func (c counting) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{
+		Conn:  conn,
+		meter: c.meter,
+	}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	meter *meter.Meter
+}
+
+// Read reads and counts.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.HTTPRead.Add(float64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.HTTPWritten.Add(float64(n))
+	return n, err
+}
--- a/internal/load/cost.go
+++ b/internal/load/cost.go
@@ -15,12 +15,26 @@
 
 const scrapeTimeout = 5 * time.Second
 
+// Instance is what one instance spent a second during a run.
+type Instance struct {
+	Page    string `json:"page"`
+	Leading bool   `json:"leading"`
+	// Applying tells that the instance keeps a replica of the log.
+	Applying bool    `json:"applying"`
+	Cores    float64 `json:"cores"`
+	MiB      float64 `json:"mib"`
+	// PeerBytes and HTTPBytes count both directions.
+	PeerBytes float64 `json:"peer-bytes-per-second"`
+	HTTPBytes float64 `json:"http-bytes-per-second"`
+}
+
 // Cost is what a cell has spent on control, added up over its instances.
 type Cost struct {
 	at      time.Time
 	seconds float64
 	bytes   float64
 	decide  map[float64]float64
+	each    []Instance
 }
 
 // ReadCost reads the metrics pages of the instances. Instances that share
@@ -40,6 +54,17 @@
 		}
 		cost.bytes += valueOf(families["jasmineward_peer_written_bytes_total"])
 		cost.addDecide(families["jasmineward_decide_seconds"])
+		cost.each = append(cost.each, Instance{
+			Page:     page,
+			Leading:  valueOf(families["jasmineward_leading"]) > 0,
+			Applying: valueOf(families["jasmineward_commands_applied_total"]) > 0,
+			Cores:    valueOf(families["process_cpu_seconds_total"]),
+			MiB:      valueOf(families["process_resident_memory_bytes"]) / (1 << 20),
+			PeerBytes: valueOf(families["jasmineward_peer_written_bytes_total"]) +
+				valueOf(families["jasmineward_peer_read_bytes_total"]),
+			HTTPBytes: valueOf(families["jasmineward_http_written_bytes_total"]) +
+				valueOf(families["jasmineward_http_read_bytes_total"]),
+		})
 	}
 	return cost, nil
 }
@@ -89,6 +114,13 @@
 	report.ControlCores = (c.seconds - before.seconds) / seconds
 	report.ControlBytes = (c.bytes - before.bytes) / seconds
 	report.DecideP99 = c.decideQuantile(before, 0.99) * 1e6
+	for i, now := range c.each {
+		was := before.each[i]
+		now.Cores = (now.Cores - was.Cores) / seconds
+		now.PeerBytes = (now.PeerBytes - was.PeerBytes) / seconds
+		now.HTTPBytes = (now.HTTPBytes - was.HTTPBytes) / seconds
+		report.Instances = append(report.Instances, now)
+	}
 }
 
 // decideQuantile returns the bound of the bucket that holds the quantile.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -25,6 +25,8 @@
 	Refused      int `json:"refused"`
 
 	Outcomes map[string]int `json:"outcomes"`
+	// Running is the mean number of tasks that ran.
+	Running int `json:"tasks-running"`
 
 	Seconds             float64            `json:"seconds"`
 	PlacementsPerSecond float64            `json:"placements-per-second"`
@@ -37,6 +39,9 @@
 	ShareDistance       float64            `json:"share-distance"`
 	ControlCores        float64            `json:"control-cpu-cores"`
 	ControlBytes        float64            `json:"control-bytes-per-second"`
+	// Instances is what each instance spent. Those of one process report that
+	// process's time and memory each.
+	Instances []Instance `json:"instances,omitempty"`
 	// Recovery is the longest pause between two starts after the leader was
 	// killed, in milliseconds; zero when none was.
 	Recovery float64 `json:"recovery-ms,omitempty"`
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -301,6 +301,7 @@
 	report.WaitP99 = quantile(waits, 0.99)
 	report.AdmitP99 = quantile(admits, 0.99)
 	report.Packing, report.ShareDistance = r.usage(runs)
+	report.Running = r.running(runs)
 	return report
 }
 
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -43,6 +43,19 @@
 	return packing, distance
 }
 
+// running returns the mean number of tasks that ran during the run.
+func (r *Runner) running(runs []fake.Run) int {
+	seconds := 0.0
+	for _, run := range runs {
+		ended := run.Ended
+		if ended.IsZero() {
+			ended = r.ended
+		}
+		seconds += overlap(run.Started, ended, r.began, r.ended)
+	}
+	return int(seconds / r.ended.Sub(r.began).Seconds())
+}
+
 func overlap(from, to, low, high time.Time) float64 {
 	if from.Before(low) {
 		from = low
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,6 +29,9 @@
 	Note      prometheus.Gauge
 	Leading   prometheus.Gauge
 	Fresh     prometheus.Gauge
+	// HTTPRead and HTTPWritten count the bytes of the HTTP listeners.
+	HTTPRead    prometheus.Counter
+	HTTPWritten prometheus.Counter
 }
 
 // New returns metrics that all stand at zero.
@@ -61,11 +64,16 @@
 		Note:    gauge("jasmineward_note_in_force", "Number of the release note in force here."),
 		Leading: gauge("jasmineward_leading", "1 while this instance leads."),
 		Fresh:   gauge("jasmineward_configuration_fresh", "1 while the configuration is fresh."),
+		HTTPRead: counter("jasmineward_http_read_bytes_total",
+			"Bytes read by the HTTP listeners."),
+		HTTPWritten: counter("jasmineward_http_written_bytes_total",
+			"Bytes written by the HTTP listeners."),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.Applied, m.Admitted, m.Refused, m.Decisions, m.Outcomes, m.Decide, m.Waiting, m.Polls,
 		m.Retries, m.Requests, m.Packing, m.Waits, m.Note, m.Leading, m.Fresh,
+		m.HTTPRead, m.HTTPWritten,
 	)
 	return m
 }
--- a/internal/node/machine.go
+++ b/internal/node/machine.go
@@ -42,6 +42,7 @@
 // Leading starts the leader's part from the ledger as it is.
 func (m *machine) Leading(term uint64) {
 	m.node.log.Infof("node: leading in term %d", term)
+	m.node.meter.Leading.Set(1)
 	lead := newLeader(m.node, term)
 	m.node.lead.Store(lead)
 	lead.start()
@@ -50,6 +51,7 @@
 // Following stops the leader's part.
 func (m *machine) Following() {
 	m.node.log.Info("node: no longer leading")
+	m.node.meter.Leading.Set(0)
 	if lead := m.node.lead.Swap(nil); lead != nil {
 		lead.stop()
 	}
--- /dev/null
+++ b/internal/sizes/measure.go
@@ -0,0 +1,563 @@
+package sizes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/ledger"
+	"github.com/jasmineward/jasmineward/internal/note"
+	"github.com/jasmineward/jasmineward/internal/peer"
+	"github.com/jasmineward/jasmineward/pkg/dedup"
+	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/sched"
+	"github.com/jasmineward/jasmineward/pkg/walog"
+)
+
+const (
+	loops      = 2000
+	syncLoops  = 200
+	recordSize = 200
+
+	callTimeout = 5 * time.Second
+)
+
+// Measure measures every slope so many times.
+func Measure(runs int) ([]Slope, error) {
+	byName := map[string][]Slope{}
+	var order []string
+	for range runs {
+		slopes, err := measureOnce()
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range slopes {
+			if byName[s.Name] == nil {
+				order = append(order, s.Name)
+			}
+			byName[s.Name] = append(byName[s.Name], s)
+		}
+	}
+	merged := make([]Slope, 0, len(order))
+	for _, name := range order {
+		merged = append(merged, Merge(byName[name]))
+	}
+	return merged, nil
+}
+
+func measureOnce() ([]Slope, error) {
+	slopes := stateSlopes()
+	slopes = append(slopes, applySlope(), decideSlope(), messageSlope(SlopePoll, 8))
+	slopes = append(slopes, httpSlope(), logSlope())
+	rpc, err := rpcSlope()
+	if err != nil {
+		return nil, err
+	}
+	disk, err := diskSlopes()
+	return append(append(slopes, rpc), disk...), err
+}
+
+// Names of the slopes.
+const (
+	SlopeJob     = "state-job"
+	SlopeTask    = "state-running-task"
+	SlopeWorker  = "state-worker"
+	SlopeKey     = "state-team-and-key"
+	SlopeNote    = "state-note"
+	SlopeApply   = "apply-command"
+	SlopeDecide  = "decide-task"
+	SlopePoll    = "poll-bytes"
+	SlopeCodec   = "rpc-call"
+	SlopeHTTP    = "http-request"
+	SlopeLog     = "log-line"
+	SlopeRecord  = "log-append"
+	SlopeSync    = "log-sync"
+	SlopeEngine  = "engine-worker"
+	sizesOfState = 4
+)
+
+// heap returns the bytes that what build returns keeps alive.
+func heap(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+func stateSlopes() []Slope {
+	series := func(name, per string, step int, build func(n int) any) Slope {
+		var points []Point
+		for i := 1; i <= sizesOfState; i++ {
+			n := step * i
+			points = append(points, Point{
+				X: float64(n),
+				Y: heap(func() any { return build(n) }),
+			})
+		}
+		return Fit(name, "bytes", per, points)
+	}
+	return []Slope{
+		series(SlopeJob, "kept job", 2000, func(n int) any { return jobsLedger(n, false) }),
+		series(SlopeTask, "running task", 2000, func(n int) any { return jobsLedger(n, true) }),
+		series(SlopeWorker, "worker", 500, func(n int) any { return workersLedger(n) }),
+		series(SlopeEngine, "worker", 500, func(n int) any { return benchEngine(n) }),
+		series(SlopeKey, "team with a key", 40, func(n int) any { return teams(n) }),
+		series(SlopeNote, "note in the history", 200, func(n int) any { return history(n) }),
+	}
+}
+
+var epoch = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+func teams(n int) *note.State {
+	state := note.NewState()
+	changes := make([]note.Change, 0, 3*n)
+	for i := range n {
+		team := fmt.Sprintf("team-%d", i)
+		changes = append(changes, note.Change{
+			Op: note.OpAdd,
+			Team: &note.Team{
+				Name: team,
+				Limit: quota.Room{
+					CPU:    1 << 40,
+					Memory: 1 << 40,
+				},
+			},
+		}, note.Change{
+			Op: note.OpAdd,
+			Key: &note.Key{
+				ID:     "key-" + team,
+				Team:   team,
+				Digest: fmt.Sprintf("%064d", i),
+			},
+		}, note.Change{
+			Op: note.OpAdd,
+			Service: &note.Service{
+				Name: "service-" + team,
+				Team: team,
+				Kind: note.KindBatch,
+			},
+		})
+	}
+	next, err := state.Apply(note.Note{
+		Number:  1,
+		Changes: changes,
+	})
+	if err != nil {
+		return state
+	}
+	return next
+}
+
+func history(n int) *note.State {
+	state := teams(1)
+	for i := range n {
+		next, err := state.Apply(note.Note{
+			Number: state.Number + 1,
+			Changes: []note.Change{{
+				Op: note.OpChange,
+				Share: &note.Share{
+					Team:   "team-0",
+					Weight: float64(i + 1),
+				},
+			}},
+		})
+		if err != nil {
+			return state
+		}
+		state = next
+	}
+	return state
+}
+
+func newLedger() *ledger.Ledger {
+	l := ledger.New(ledger.DefaultBounds())
+	n := note.Note{Number: 1}
+	n.Changes = append(n.Changes, note.Change{
+		Op: note.OpAdd,
+		Team: &note.Team{
+			Name: "team",
+			Limit: quota.Room{
+				CPU:    1 << 40,
+				Memory: 1 << 40,
+			},
+		},
+	}, note.Change{
+		Op: note.OpAdd,
+		Key: &note.Key{
+			ID:     "key",
+			Team:   "team",
+			Digest: fmt.Sprintf("%064d", 0),
+		},
+	}, note.Change{
+		Op: note.OpAdd,
+		Service: &note.Service{
+			Name: "service",
+			Team: "team",
+			Kind: note.KindBatch,
+		},
+	})
+	l.Apply(ledger.Command{
+		Time: now(),
+		Note: &n,
+	})
+	return l
+}
+
+func now() ledger.Millis {
+	return ledger.Millis(time.Now().UnixMilli())
+}
+
+func announce(l *ledger.Ledger, i, slots int) string {
+	id := fmt.Sprintf("worker-%d", i)
+	l.Apply(ledger.Command{Announce: &ledger.Announce{
+		Target:  id,
+		Session: "0f9a2c11-64e1-4c3e-9f10-9d8f3f1f2b01",
+		Slots:   slots,
+		Rack:    fmt.Sprintf("rack-%d", i/6),
+		Domain:  "ba",
+		Capacity: quota.Room{
+			CPU:    1 << 30,
+			Memory: 1 << 30,
+		},
+	}})
+	return id
+}
+
+func workersLedger(n int) *ledger.Ledger {
+	l := newLedger()
+	for i := range n {
+		announce(l, i, 8)
+	}
+	return l
+}
+
+// jobsLedger returns a ledger with so many jobs of one task, which run or
+// have ended.
+func jobsLedger(n int, running bool) *ledger.Ledger {
+	l := newLedger()
+	target := ""
+	for i := range n {
+		if i%8 == 0 {
+			target = announce(l, i/8, 8)
+		}
+		runJob(l, target, running)
+	}
+	return l
+}
+
+func runJob(l *ledger.Ledger, target string, running bool) {
+	id, err := dedup.NewID()
+	if err != nil {
+		return
+	}
+	result, _ := l.Apply(ledger.Command{
+		Time: now(),
+		Submit: &ledger.Submit{
+			Request: ledger.RequestKey{
+				Scope: ledger.TeamScope("team"),
+				ID:    id,
+			},
+			Digest: fmt.Sprintf("%064d", 0),
+			KeyID:  "key",
+			Spec: ledger.Spec{
+				Service: "service",
+				Count:   1,
+				Payload: make([]byte, 128),
+				Room: quota.Room{
+					CPU:    1000,
+					Memory: 1024,
+				},
+			},
+		},
+	}).(ledger.SubmitResult)
+	session := "0f9a2c11-64e1-4c3e-9f10-9d8f3f1f2b01"
+	l.Apply(ledger.Command{Place: &ledger.Place{Groups: []ledger.Group{{
+		Job: result.Job,
+		Spots: []ledger.Spot{{
+			Attempt: 1,
+			Target:  target,
+			Session: session,
+		}},
+	}}}})
+	event := ledger.Event{
+		Attempt: ledger.Attempt{
+			Job:    result.Job,
+			Number: 1,
+		},
+		Kind: ledger.EventStarted,
+	}
+	report := &ledger.Report{
+		Target:  target,
+		Session: session,
+		Events:  []ledger.Event{event},
+	}
+	l.Apply(ledger.Command{Report: report})
+	if running {
+		return
+	}
+	report.Events[0].Kind = ledger.EventFinished
+	report.Events[0].Checksum = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+	l.Apply(ledger.Command{Report: report})
+}
+
+// micros returns the mean time of one call, in microseconds.
+func micros(count int, call func()) float64 {
+	began := time.Now()
+	for range count {
+		call()
+	}
+	return float64(time.Since(began)) / float64(time.Microsecond) / float64(count)
+}
+
+// cpuMicros returns the mean processor time of one call by the whole process,
+// in microseconds.
+func cpuMicros(count int, call func()) float64 {
+	before := processTime()
+	for range count {
+		call()
+	}
+	return float64(processTime()-before) / float64(time.Microsecond) / float64(count)
+}
+
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// applySlope measures one command of a job's four against the live jobs.
+func applySlope() Slope {
+	var points []Point
+	for _, n := range []int{2000, 5500, 11000} {
+		l := jobsLedger(n, true)
+		target := announce(l, 1<<20, 4096)
+		points = append(points, Point{
+			X: float64(n),
+			Y: micros(loops, func() { runJob(l, target, false) }) / 4,
+		})
+	}
+	return Fit(SlopeApply, "us", "running task", points)
+}
+
+func benchEngine(workers int) *sched.Engine {
+	e := sched.NewEngine(sched.WithHeadroom(0))
+	e.SetTeam(sched.Team{
+		Name:   "team",
+		Weight: 1,
+		Limit: quota.Room{
+			CPU:    1 << 40,
+			Memory: 1 << 40,
+		},
+	})
+	for i := range workers {
+		e.SetWorker(sched.Worker{
+			ID:     fmt.Sprintf("worker-%d", i),
+			Slots:  8,
+			Rack:   fmt.Sprintf("rack-%d", i/6),
+			Domain: fmt.Sprintf("domain-%d", i%16),
+			Capacity: quota.Room{
+				CPU:    64000,
+				Memory: 131072,
+			},
+		})
+	}
+	e.Decide(epoch, 1)
+	return e
+}
+
+func decideSlope() Slope {
+	var points []Point
+	for _, workers := range []int{270, 1350, 2700, 5400} {
+		e := benchEngine(workers)
+		id := sched.JobID(0)
+		at := epoch
+		points = append(points, Point{
+			X: float64(workers),
+			Y: micros(loops, func() {
+				id++
+				at = at.Add(time.Millisecond)
+				e.Submit(sched.Job{
+					ID:        id,
+					Team:      "team",
+					Service:   "service",
+					Kind:      sched.KindBatch,
+					Tasks:     1,
+					Submitted: at,
+					Room: quota.Room{
+						CPU:    4000,
+						Memory: 4096,
+					},
+				})
+				e.Decide(at, 1)
+				e.Finished(id, 0, sched.Result{Now: at})
+				e.Drop(id, at)
+			}),
+		})
+	}
+	return Fit(SlopeDecide, "us", "worker", points)
+}
+
+// messageSlope measures the bytes of a target's poll, headers included,
+// against the attempts that it knows.
+func messageSlope(name string, most int) Slope {
+	var points []Point
+	for n := 0; n <= most; n += 2 {
+		points = append(points, Point{
+			X: float64(n),
+			Y: float64(pollBytes(n)),
+		})
+	}
+	return Fit(name, "bytes", "known attempt", points)
+}
+
+// Frame is a message of a size.
+type Frame struct {
+	Payload []byte `cbor:"1,keyasint"`
+}
+
+// Mirror is the service that the calls are measured on.
+type Mirror struct{}
+
+// Back returns what it is given.
+func (Mirror) Back(args *Frame, reply *Frame) error {
+	*reply = *args
+	return nil
+}
+
+// rpcSlope measures the processor time of a call over loopback, both sides.
+func rpcSlope() (Slope, error) {
+	server, err := peer.Listen("127.0.0.1:0", nil, &peer.Traffic{})
+	if err != nil {
+		return Slope{}, err
+	}
+	defer server.Close()
+	if err := server.Concurrent("Mirror", &Mirror{}); err != nil {
+		return Slope{}, err
+	}
+	server.Serve()
+	client := peer.NewDialer(&peer.Traffic{}).NewClient(server.Address())
+	defer client.Close()
+	var points []Point
+	for _, size := range []int{128, 1024, 4096, 16384} {
+		message := &Frame{Payload: make([]byte, size)}
+		points = append(points, Point{
+			X: float64(size),
+			Y: cpuMicros(loops, func() {
+				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+				defer cancel()
+				_ = client.Call(ctx, "Mirror.Back", message, &Frame{})
+			}),
+		})
+	}
+	return Fit(SlopeCodec, "us", "byte", points), nil
+}
+
+// httpSlope measures a request with its answer over loopback, both sides.
+func httpSlope() Slope {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	defer server.Close()
+	var points []Point
+	for _, size := range []int{256, 2048, 16384} {
+		points = append(points, Point{
+			X: float64(size),
+			Y: cpuMicros(loops, func() {
+				response, err := http.Post(server.URL, "text/plain", newZeros(size))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, response.Body)
+					_ = response.Body.Close()
+				}
+			}),
+		})
+	}
+	return Fit(SlopeHTTP, "us", "byte", points)
+}
+
+func newZeros(size int) io.Reader {
+	return io.LimitReader(zeros{}, int64(size))
+}
+
+type zeros struct{}
+
+// Read fills with zeros.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// logSlope measures a log line against its number of fields.
+func logSlope() Slope {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var points []Point
+	for _, fields := range []int{1, 3, 6} {
+		line := ""
+		args := make([]any, 0, fields)
+		for i := range fields {
+			line += " field=%d"
+			args = append(args, i)
+		}
+		points = append(points, Point{
+			X: float64(fields),
+			Y: micros(loops, func() { log.Infof("sched: placed"+line, args...) }),
+		})
+	}
+	return Fit(SlopeLog, "us", "field", points)
+}
+
+// diskSlopes measure appends and syncs of the write-ahead log.
+func diskSlopes() ([]Slope, error) {
+	dir, err := os.MkdirTemp("", "slopes-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	log, err := walog.Open(dir, func([]byte) error { return nil })
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	defer func() { _ = log.Close() }()
+	var appends, syncs []Point
+	for _, size := range []int{128, 1024, 8192} {
+		record := make([]byte, size)
+		appends = append(appends, Point{
+			X: float64(size),
+			Y: micros(loops/10, func() { _ = log.Append(record) }),
+		})
+		if err := log.Sync(); err != nil {
+			return nil, errors.Wrap(err, "sync log")
+		}
+	}
+	record := make([]byte, recordSize)
+	for _, batch := range []int{1, 16, 64, 256} {
+		syncs = append(syncs, Point{
+			X: float64(batch),
+			Y: cpuMicros(syncLoops, func() {
+				for range batch {
+					_ = log.Append(record)
+				}
+				_ = log.Sync()
+			}),
+		})
+	}
+	return []Slope{
+		Fit(SlopeRecord, "us", "byte", appends),
+		Fit(SlopeSync, "us", "record of 200 bytes", syncs),
+	}, nil
+}
