Tell a target what is settled only with its next poll

Cause: profile of the leader at the planned size: most of its time goes into calls; each finished task ended the target's poll only to say that it was settled. Change: a poll no longer ends for that.

--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -59,7 +59,6 @@
 		}
 	case old.State.Active() && !task.State.Active():
 		l.engine.Finished(id, index, resultOf(old, task, now))
-		l.wakeTarget(old.Target)
 		l.wakeScheduler()
 	case task.Stop != old.Stop:
 		l.wakeTarget(task.Target)
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -97,13 +97,13 @@
 			return wire.PollReply{}, fault
 		}
 		reply := l.orders(target, args.Known)
-		if len(reply.Orders) > 0 || len(reply.Settled) > 0 || l.isReleased() {
+		if len(reply.Orders) > 0 || l.isReleased() {
 			return l.granted(reply)
 		}
 		select {
 		case <-raised:
 		case <-timer.C:
-			return l.granted(reply)
+			return l.granted(l.orders(target, args.Known))
 		case <-l.ctx.Done():
 			return wire.PollReply{}, l.node.notLeader()
 		}
