Revert the gathering of input between syncs

Cause: it took the p99 waiting time over its bound. Change: reverted. Conclusion: batching stays what load itself brings about.

--- a/pkg/raft/drive.go
+++ b/pkg/raft/drive.go
@@ -19,7 +19,6 @@
 		case <-ticker.C:
 			r.core.Tick(r.clock())
 		case <-r.wake:
-			r.gather()
 		}
 		r.takeInput()
 		if err := r.process(); err != nil {
@@ -29,14 +28,6 @@
 	}
 }
 
-// gather waits until some time has passed since the last sync, so that a busy
-// replica takes several commands or messages at once.
-func (r *Replica) gather() {
-	if wait := r.gatherFor - time.Since(r.synced); wait > 0 {
-		time.Sleep(wait)
-	}
-}
-
 func (r *Replica) takeInput() {
 	r.mu.Lock()
 	inbox, proposals, calls := r.inbox, r.proposals, r.calls
@@ -120,7 +111,6 @@
 			if err := r.storage.Persist(ready.Hard, ready.Entries); err != nil {
 				return errors.Wrap(err, "persist")
 			}
-			r.synced = time.Now()
 		}
 		r.core.Advance(ready, r.clock())
 		r.send(ready.Late)
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -15,7 +15,6 @@
 	maxProposals      = 4096
 	inboxCapacity     = 16384
 	applyChannelDepth = 1
-	defaultGather     = 500 * time.Microsecond
 )
 
 // Errors of a Replica.
@@ -63,9 +62,6 @@
 	started   time.Time
 	snapEvery uint64
 	trailing  uint64
-	// gatherFor is the least time between two syncs; synced is the last.
-	gatherFor time.Duration
-	synced    time.Time
 
 	mu        sync.Mutex
 	inbox     []Message
@@ -125,11 +121,6 @@
 	return func(r *Replica) { r.trailing = entries }
 }
 
-// WithGather sets the least time between two syncs of a busy replica.
-func WithGather(d time.Duration) ReplicaOption {
-	return func(r *Replica) { r.gatherFor = d }
-}
-
 // NewReplica loads the storage and starts the replica. It fails when the
 // storage or the state in it can't be read.
 func NewReplica(
@@ -153,7 +144,6 @@
 		started:   time.Now(),
 		snapEvery: defaultSnapshot,
 		trailing:  defaultTrailing,
-		gatherFor: defaultGather,
 		wake:      make(chan struct{}, 1),
 		waiters:   make(map[uint64]*proposal),
 		reads:     make(map[uint64]chan readResult),
