Measure calls at the pace of a cell that is not at its limit

Cause: calls made back to back cost less than half of what they cost a process that is woken for each. Change: calls, requests and syncs are measured from a few paced callers; the batches of the log follow from the load.

--- a/internal/sizes/measure.go
+++ b/internal/sizes/measure.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,8 +26,11 @@
 
 const (
 	loops      = 2000
-	syncLoops  = 200
-	recordSize = 200
+	pacedCalls = 100
+	pacedPause = 4 * time.Millisecond
+	// manyCallers is how many call at once; a log has one.
+	manyCallers = 8
+	recordSize  = 200
 
 	callTimeout = 5 * time.Second
 )
@@ -323,13 +327,31 @@
 }
 
 // cpuMicros returns the mean processor time of one call by the whole process,
-// in microseconds.
-func cpuMicros(count int, call func()) float64 {
+// in microseconds. The calls come one by one from a few callers with pauses
+// between, as they do in a cell that is not at its limit: a process that is
+// woken for each call pays for the waking too. What the pauses alone cost is
+// taken off.
+func cpuMicros(callers int, call func()) float64 {
+	busy, count := paced(callers, call)
+	idle, _ := paced(callers, func() {})
+	return float64(busy-idle) / float64(time.Microsecond) / float64(count)
+}
+
+func paced(callers int, call func()) (spent time.Duration, count int) {
+	var wait sync.WaitGroup
 	before := processTime()
-	for range count {
-		call()
+	for range callers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for range pacedCalls {
+				call()
+				time.Sleep(pacedPause)
+			}
+		}()
 	}
-	return float64(processTime()-before) / float64(time.Microsecond) / float64(count)
+	wait.Wait()
+	return processTime() - before, callers * pacedCalls
 }
 
 func processTime() time.Duration {
@@ -457,7 +479,7 @@
 		message := &Frame{Payload: make([]byte, size)}
 		points = append(points, Point{
 			X: float64(size),
-			Y: cpuMicros(loops, func() {
+			Y: cpuMicros(manyCallers, func() {
 				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 				defer cancel()
 				_ = client.Call(ctx, "Mirror.Back", message, &Frame{})
@@ -477,7 +499,7 @@
 	for _, size := range []int{256, 2048, 16384} {
 		points = append(points, Point{
 			X: float64(size),
-			Y: cpuMicros(loops, func() {
+			Y: cpuMicros(manyCallers, func() {
 				response, err := http.Post(server.URL, "text/plain", newZeros(size))
 				if err == nil {
 					_, _ = io.Copy(io.Discard, response.Body)
@@ -548,7 +570,7 @@
 	for _, batch := range []int{1, 16, 64, 256} {
 		syncs = append(syncs, Point{
 			X: float64(batch),
-			Y: cpuMicros(syncLoops, func() {
+			Y: cpuMicros(1, func() {
 				for range batch {
 					_ = log.Append(record)
 				}
--- a/internal/sizes/plan.go
+++ b/internal/sizes/plan.go
@@ -44,8 +44,12 @@
 	reportsPerTask = 2
 	// commandBytes is the mean size of a command in the log.
 	commandBytes = 220
-	// syncsPerSecond is how often a busy voter syncs.
-	syncsPerSecond = 400
+	// batchSeconds is how long a voter takes for one batch of the log, in
+	// which the commands of the next one gather.
+	batchSeconds = 0.0004
+	// callsPerBatch are the calls for a batch with one follower: the entries
+	// out, and the acknowledgement back.
+	callsPerBatch = 2
 	// headerBytes is the mean of a request's and its answer's headers and a
 	// small body.
 	requestBytes = 900
@@ -59,11 +63,16 @@
 
 // Work is what happens in a cell each second.
 type Work struct {
-	Polls    float64
-	Reports  float64
-	Submits  float64
-	Waits    float64
+	Polls   float64
+	Reports float64
+	Submits float64
+	Waits   float64
+	// Commands are those of callers and targets, Places those of the policy,
+	// of which one brings several tasks where they come together.
 	Commands float64
+	Places   float64
+	// Batches are the syncs of a voter.
+	Batches  float64
 	Requests float64
 }
 
@@ -77,6 +86,9 @@
 		Waits:   p.Jobs,
 	}
 	w.Commands = w.Reports + w.Submits
+	w.Places = min(p.Jobs, p.Starts)
+	arriving := w.Commands + w.Places
+	w.Batches = arriving / (1 + arriving*batchSeconds)
 	w.Requests = w.Polls + w.Reports + w.Submits + w.Waits
 	return w
 }
@@ -102,8 +114,8 @@
 		{
 			Name:      "voter, leading",
 			State:     stateText,
-			Messages:  w.Requests + 2*syncsPerSecond,
-			Syncs:     syncsPerSecond,
+			Messages:  w.Requests + callsPerBatch*w.Batches,
+			Syncs:     w.Batches,
 			Mechanism: "group commit, one engine, leases outside the log",
 			Cost: Cost{
 				Cores: p.leaderCores(f, w),
@@ -114,8 +126,8 @@
 		{
 			Name:      "voter, following",
 			State:     stateText,
-			Messages:  2 * syncsPerSecond,
-			Syncs:     syncsPerSecond,
+			Messages:  callsPerBatch * w.Batches,
+			Syncs:     w.Batches,
 			Mechanism: "pipelined append, one sync a batch",
 			Cost: Cost{
 				Cores: p.followerCores(f, w),
@@ -126,8 +138,8 @@
 		{
 			Name:      "learner",
 			State:     stateText,
-			Messages:  2 * syncsPerSecond,
-			Syncs:     syncsPerSecond,
+			Messages:  callsPerBatch * w.Batches,
+			Syncs:     w.Batches,
 			Mechanism: "as a following voter; snapshots in pieces",
 			Cost: Cost{
 				Cores: p.followerCores(f, w),
@@ -194,19 +206,19 @@
 
 func (p Plan) logCores(f File, w Work) float64 {
 	s := f.Find(SlopeSync)
-	return (syncsPerSecond*math.Max(s.Intercept, 0) + w.Commands*s.Slope) * millionths
+	return (w.Batches*math.Max(s.Intercept, 0) + w.Commands*s.Slope) * millionths
 }
 
 func (p Plan) leaderCores(f File, w Work) float64 {
 	calls := w.Requests * f.Find(SlopeCodec).At(256) / 2
 	decide := p.Starts * f.Find(SlopeDecide).At(float64(p.Workers))
 	lines := (p.Starts + p.Jobs) * f.Find(SlopeLog).At(6)
-	replicate := float64(p.Voters-1) * syncsPerSecond * f.Find(SlopeCodec).At(2048) / 2
+	replicate := float64(p.Voters-1) * callsPerBatch * w.Batches * f.Find(SlopeCodec).At(512) / 2
 	return (calls+decide+lines+replicate)*millionths + p.applyCores(f, w) + p.logCores(f, w)
 }
 
 func (p Plan) followerCores(f File, w Work) float64 {
-	replicate := syncsPerSecond * f.Find(SlopeCodec).At(2048)
+	replicate := callsPerBatch * w.Batches * f.Find(SlopeCodec).At(512) / 2
 	return replicate*millionths + p.applyCores(f, w) + p.logCores(f, w)
 }
 
