Send the membership to a follower only when it differs

Cause: at 50 notes a second each instance without a disk read 45 KB a second, over the 17 KB of the plan; most of it was the membership, 20 times a second. Change: a follower says which membership it has; news come at most ten times a second. jasload -notes measures this.

--- a/cmd/jasload/main.go
+++ b/cmd/jasload/main.go
@@ -48,6 +48,7 @@
 	replay    string
 	plot      string
 	slopes    bool
+	notes     float64
 	held      string
 	capacity  string
 }
@@ -69,6 +70,7 @@
 	flag.StringVar(&f.replay, "replay", "", "replay a trace `file`, beside the baseline")
 	flag.StringVar(&f.plot, "plot", "", "draw the replay of a trace `file` into SVG files here")
 	flag.BoolVar(&f.slopes, "slopes", false, "measure what things cost, and write it into the capacity file")
+	flag.Float64Var(&f.notes, "notes", 0, "apply so many release notes a second to a cell started here")
 	flag.StringVar(&f.held, "held", "", "add the cost of this run of a running cell to the capacity file, under the `name`")
 	flag.StringVar(&f.capacity, "capacity", "docs/capacity.json", "capacity `file`")
 	flag.Parse()
@@ -80,6 +82,8 @@
 	switch {
 	case f.replay != "":
 		return runReplay(f.replay, false, f.asJSON)
+	case f.notes > 0:
+		return runNotes(f)
 	case f.slopes:
 		return runSlopes(f.capacity)
 	case f.plot != "":
--- /dev/null
+++ b/cmd/jasload/notes.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/jasmineward/jasmineward/internal/load"
+)
+
+// runNotes applies release notes at a rate and prints how soon they are in
+// force everywhere.
+func runNotes(f flags) int {
+	report, err := load.DriveNotes(context.Background(), load.Options{
+		Voters:  f.voters,
+		Entries: f.entries,
+		Delay:   f.delay,
+		Length:  f.length,
+	}, f.notes)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "jasload:", err)
+		return exitFailed
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return exitFailed
+	}
+	if report.Reverted > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -34,6 +34,7 @@
 	WaitP99             float64            `json:"wait-p99-ms"`
 	WaitByService       map[string]float64 `json:"wait-p99-ms-by-service"`
 	AdmitP99            float64            `json:"admit-p99-ms"`
+	RefuseP99           float64            `json:"refuse-p99-ms"`
 	DecideP99           float64            `json:"decide-p99-us"`
 	Packing             float64            `json:"packing"`
 	ShareDistance       float64            `json:"share-distance"`
@@ -77,6 +78,7 @@
 		row("  "+service+" p99, ms", number(r.WaitByService[service]))
 	}
 	row("admission p99, ms", number(r.AdmitP99))
+	row("refusal p99, ms", number(r.RefuseP99))
 	row("decide p99, us", number(r.DecideP99))
 	row("packing", number(r.Packing))
 	row("share distance", number(r.ShareDistance))
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -58,6 +58,12 @@
 	err     error
 }
 
+// refused tells whether the cell refused the job.
+func (a answer) refused() bool {
+	var p *client.Problem
+	return errors.As(a.err, &p) && !p.Retryable()
+}
+
 // NewRunner returns a runner of the workload.
 func NewRunner(cell Cell, workload Workload) *Runner {
 	return &Runner{
@@ -243,6 +249,8 @@
 		Room:       group.Room,
 		Idempotent: group.Idempotent,
 		RunTime:    group.RunTime,
+
+		StartWithin: group.StartWithin,
 		Payload: fake.Work{
 			Request:   id,
 			RunMillis: time.Duration(group.RunTime).Milliseconds(),
@@ -283,11 +291,14 @@
 		Seconds:       r.ended.Sub(r.began).Seconds(),
 	}
 	report.PlacementsPerSecond = float64(len(runs)) / report.Seconds
-	var waits, admits []time.Duration
+	var waits, admits, refusals []time.Duration
 	services := map[string][]time.Duration{}
 	for _, a := range r.answers {
 		report.count(a, byRequest[a.request])
 		admits = append(admits, a.admit)
+		if a.refused() {
+			refusals = append(refusals, a.admit)
+		}
 		for _, run := range byRequest[a.request] {
 			wait := run.Started.Sub(a.sent)
 			waits = append(waits, wait)
@@ -300,6 +311,7 @@
 	report.WaitP50 = quantile(waits, 0.5)
 	report.WaitP99 = quantile(waits, 0.99)
 	report.AdmitP99 = quantile(admits, 0.99)
+	report.RefuseP99 = quantile(refusals, 0.99)
 	report.Packing, report.ShareDistance = r.usage(runs)
 	report.Running = r.running(runs)
 	return report
@@ -307,8 +319,7 @@
 
 // count checks one answer against the runs that targets saw.
 func (r *Report) count(a answer, runs []fake.Run) {
-	var p *client.Problem
-	if errors.As(a.err, &p) && !p.Retryable() {
+	if a.refused() {
 		r.Refused++
 		return
 	}
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -48,7 +48,9 @@
 	Tasks      int           `toml:"tasks"`
 	Idempotent bool          `toml:"idempotent"`
 	RunTime    note.Duration `toml:"run-time"`
-	Forever    bool          `toml:"forever"`
+	// StartWithin is when a job is no longer worth starting; zero is never.
+	StartWithin note.Duration `toml:"start-within"`
+	Forever     bool          `toml:"forever"`
 	// CancelAt is when jobs still going are cancelled; zero is never.
 	CancelAt note.Duration `toml:"cancel-at"`
 	Room     quota.Room    `toml:"room"`
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -15,7 +17,7 @@
 	feedWait = time.Second
 	// feedGap is the least time between two answers to one follower, so that
 	// a stream of notes reaches it in batches.
-	feedGap = 50 * time.Millisecond
+	feedGap = 100 * time.Millisecond
 	// goneAfter is when the leader no longer counts an instance as live.
 	goneAfter = 5 * time.Second
 )
@@ -64,6 +66,7 @@
 		Address: f.node.cfg.Advertise,
 		Domain:  f.node.cfg.Domain,
 		Wait:    feedWait,
+		Members: sumOf(f.node.router.members()),
 	}
 	current := f.view.Load()
 	if current != nil {
@@ -189,7 +192,10 @@
 // those are not kept.
 func (l *leader) news(args wire.FeedArgs) (wire.FeedReply, *wire.Fault) {
 	state := l.node.ledger.Config()
-	reply := wire.FeedReply{Membership: l.node.replica.Load().Status().Membership}
+	reply := wire.FeedReply{}
+	if members := l.node.replica.Load().Status().Membership; sumOf(members) != args.Members {
+		reply.Membership = members
+	}
 	if args.Digest != state.Digest || args.Number == 0 {
 		l.mu.Lock()
 		reply.Notes = l.notesAfter(args.Number, state.Number)
@@ -206,6 +212,13 @@
 	return reply, nil
 }
 
+// sumOf returns a sum by which two memberships are told apart.
+func sumOf(m raft.Membership) uint64 {
+	sum := fnv.New64a()
+	_, _ = fmt.Fprint(sum, m)
+	return sum.Sum64()
+}
+
 func (l *leader) notesAfter(number, last uint64) []note.Note {
 	if number == 0 || len(l.notes) == 0 || l.notes[0].Number > number+1 || number > last {
 		return nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -200,9 +200,12 @@
 	Number  uint64        `cbor:"4,keyasint"`
 	Digest  string        `cbor:"5,keyasint"`
 	Wait    time.Duration `cbor:"6,keyasint"`
+	// Members is the sum of the membership that the follower has.
+	Members uint64 `cbor:"7,keyasint,omitempty"`
 }
 
-// FeedReply brings the notes after the number, or a whole state.
+// FeedReply brings the notes after the number, or a whole state, and the
+// membership where it differs from the follower's.
 type FeedReply struct {
 	Notes      []note.Note     `cbor:"1,keyasint,omitempty"`
 	State      *note.State     `cbor:"2,keyasint,omitempty"`
