--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -43,6 +43,10 @@
 	// Instances is what each instance spent. Those of one process report that
 	// process's time and memory each.
 	Instances []Instance `json:"instances,omitempty"`
+	// LongestPause is the longest time between two starts while jobs were
+	// handed in, in milliseconds: at a steady rate, how long placements stood
+	// still.
+	LongestPause float64 `json:"longest-pause-ms"`
 	// Recovery is the longest pause between two starts after the leader was
 	// killed, in milliseconds; zero when none was.
 	Recovery float64 `json:"recovery-ms,omitempty"`
@@ -84,6 +88,7 @@
 	row("share distance", number(r.ShareDistance))
 	row("control, cores", number(r.ControlCores))
 	row("control, bytes a second", number(r.ControlBytes))
+	row("longest pause, ms", number(r.LongestPause))
 	if r.Recovery > 0 {
 		row("recovery, ms", number(r.Recovery))
 	}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -45,7 +45,9 @@
 	mu      sync.Mutex
 	answers []answer
 	began   time.Time
-	ended   time.Time
+	// handedIn is when the last job was handed in.
+	handedIn time.Time
+	ended    time.Time
 }
 
 // answer is what a caller was told.
@@ -206,10 +208,18 @@
 			r.submit(ctx, p.group)
 		}()
 	}
+	r.handedIn = time.Now()
 	wait.Wait()
 	r.ended = time.Now()
 }
 
+func (r *Runner) firstStart(runs []fake.Run) time.Time {
+	if len(runs) == 0 {
+		return r.began
+	}
+	return runs[0].Started
+}
+
 func (r *Runner) submit(ctx context.Context, group JobGroup) {
 	id, err := dedup.NewID()
 	if err != nil {
@@ -314,6 +324,7 @@
 	report.RefuseP99 = quantile(refusals, 0.99)
 	report.Packing, report.ShareDistance = r.usage(runs)
 	report.Running = r.running(runs)
+	report.LongestPause = float64(longestPause(runs, r.firstStart(runs), r.handedIn)) / float64(time.Millisecond)
 	return report
 }
 
