Bring a cell of 2,700 targets through the loss of its leader

Cause: with 2,700 stand-in targets, 8,000 tasks running and the leader killed, 1,360 of 5,460 jobs had no answer after 60 s. Found one after the other, by counting in logs and metrics: pings queued behind thousands of calls ran out of time and cut the connection of all of them; retries beyond the budget failed at once and came back as new calls; announcements of targets whose earlier session was live went into the log (64,000 of them); a poll that was tried again waited beyond its lease; the engine forgot a task whose placement was refused after its worker had gone; the stand-in went on in a session whose lease had ended. Ruled out: the time to elect (placements went on after 0.6 s from the first). Change: pings have a connection of their own and two must fail; retries wait for their turn; the leader answers such announcements from its ledger, with when to come back; a retried poll does not wait; refused placements always wait again.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -51,6 +51,11 @@
 	return p.Status == http.StatusServiceUnavailable
 }
 
+// Busy tells whether the cell took too much on to look at the request.
+func (p *Problem) Busy() bool {
+	return p.Status == http.StatusTooManyRequests
+}
+
 // Client talks to one kind of listener on several instances.
 type Client struct {
 	bases      []string
@@ -85,6 +90,12 @@
 	return c
 }
 
+// Fork returns a client of the same instances that starts with one of its
+// own, as another machine behind a balancer would.
+func (c *Client) Fork() *Client {
+	return New(c.bases, WithCredential(c.credential), WithHTTP(c.http))
+}
+
 // do sends a request to one instance after the other until one answers with
 // something that is not a passing problem, or the context ends.
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 const (
 	callTimeout = 4 * time.Second
 	retryPause  = 50 * time.Millisecond
+	// A pause doubles so often at most.
+	maxDoublings = 4
 	// A poll waits a third of the lease, and is given up after half of it.
 	waitParts    = 3
 	timeoutParts = 2
@@ -74,7 +77,10 @@
 	tasks   map[ledger.Attempt]*task
 	events  []ledger.Event
 	leaving bool
-	wake    chan struct{}
+	// failures counts polls and announcements that failed in a row. Only
+	// the polling goroutine uses it.
+	failures int
+	wake     chan struct{}
 	// refused are starts that came after the lease had ended.
 	refused int
 
@@ -101,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Target{
 		cfg:     cfg,
-		client:  c,
+		client:  c.Fork(),
 		witness: witness,
 		tasks:   map[ledger.Attempt]*task{},
 		wake:    make(chan struct{}, 1),
@@ -148,8 +154,8 @@
 func (t *Target) poll() {
 	defer t.done.Done()
 	for t.ctx.Err() == nil {
-		if !t.announce() {
-			t.sleep()
+		if wait, ok := t.announce(); !ok {
+			t.sleep(wait)
 			continue
 		}
 		for t.ctx.Err() == nil && t.pollOnce() {
@@ -157,15 +163,22 @@
 	}
 }
 
-func (t *Target) sleep() {
+// sleep waits for about the time given, and longer after each failure in a
+// row when none is given.
+func (t *Target) sleep(wait time.Duration) {
+	if wait <= 0 {
+		t.failures = min(t.failures+1, maxDoublings)
+		wait = retryPause << t.failures
+	}
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(wait/2 + rand.N(wait)):
 	case <-t.ctx.Done():
 	}
 }
 
 // announce opens a new session; what ran in an earlier one is gone by then.
-func (t *Target) announce() bool {
+// Without success it returns how long to wait.
+func (t *Target) announce() (time.Duration, bool) {
 	session := uuid.NewString()
 	t.mu.Lock()
 	t.dropAll()
@@ -182,15 +195,20 @@
 		Rack:     t.cfg.Rack,
 		Domain:   t.cfg.Domain,
 	})
+	var p *client.Problem
+	if errors.As(err, &p) {
+		return time.Duration(p.RetryAfter) * time.Millisecond, false
+	}
 	if err != nil {
-		return false
+		return 0, false
 	}
+	t.failures = 0
 	ttl := time.Duration(answer.LeaseMillis) * time.Millisecond
 	t.lease.Extend(sent, ttl)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ttl = ttl
-	return true
+	return 0, true
 }
 
 // pollOnce polls, and tells false when a new session is needed.
@@ -203,6 +221,9 @@
 		Wait:    note.Duration(ttl / waitParts),
 	}
 	t.mu.Unlock()
+	if t.failures > 0 {
+		request.Wait = 0
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, ttl/timeoutParts)
 	defer cancel()
 	sent := time.Now()
@@ -210,6 +231,12 @@
 	if err != nil {
 		return t.pollFailed(err)
 	}
+	t.failures = 0
+	// A lease that ended meanwhile took the session with it: what ran under
+	// it has been dropped.
+	if !t.lease.Live(time.Now()) {
+		return false
+	}
 	t.lease.Extend(sent, time.Duration(answer.LeaseMillis)*time.Millisecond)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -227,7 +254,7 @@
 	if errors.As(err, &p) && p.Code == wire.CodeSession {
 		return false
 	}
-	t.sleep()
+	t.sleep(0)
 	return t.lease.Live(time.Now())
 }
 
@@ -443,6 +470,13 @@
 	}
 }
 
+// final tells whether the cell has refused for good what was sent. Anything
+// else may not have been kept, and is sent again.
+func final(err error) bool {
+	var p *client.Problem
+	return errors.As(err, &p) && !p.Retryable() && !p.Busy()
+}
+
 // reportOnce sends what there is, and tells whether to go on.
 func (t *Target) reportOnce() bool {
 	t.mu.Lock()
@@ -458,9 +492,11 @@
 		Session: session,
 		Events:  events,
 	})
-	var p *client.Problem
-	if err != nil && !errors.As(err, &p) {
-		t.sleep()
+	if err != nil && !final(err) {
+		select {
+		case <-time.After(retryPause + rand.N(retryPause)):
+		case <-t.ctx.Done():
+		}
 		return true
 	}
 	t.mu.Lock()
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -24,6 +24,8 @@
 	Unexpected   int `json:"unexpected-outcomes"`
 	Refused      int `json:"refused"`
 
+	// Errors counts what callers got instead of an answer.
+	Errors   map[string]int `json:"errors,omitempty"`
 	Outcomes map[string]int `json:"outcomes"`
 	// Running is the mean number of tasks that ran.
 	Running int `json:"tasks-running"`
@@ -68,6 +70,9 @@
 		row("  "+outcome, r.Outcomes[outcome])
 	}
 	row("lost", r.Lost)
+	for _, text := range sortedKeys(r.Errors) {
+		row("  "+text, r.Errors[text])
+	}
 	row("double runs", r.DoubleRuns)
 	row("over capacity", r.OverCapacity)
 	row("over limit", r.OverLimit)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -296,6 +296,7 @@
 		OverCapacity:  broken.OverCapacity,
 		OverLimit:     broken.OverLimit,
 		WrongTeam:     broken.WrongTeam,
+		Errors:        map[string]int{},
 		Outcomes:      map[string]int{},
 		WaitByService: map[string]float64{},
 		Seconds:       r.ended.Sub(r.began).Seconds(),
@@ -328,6 +329,18 @@
 	return report
 }
 
+// lostAs tells how an answer was lost.
+func lostAs(a answer) string {
+	var p *client.Problem
+	switch {
+	case errors.As(a.err, &p):
+		return string(p.Code)
+	case a.err != nil:
+		return "unreachable"
+	}
+	return "still " + a.view.State
+}
+
 // count checks one answer against the runs that targets saw.
 func (r *Report) count(a answer, runs []fake.Run) {
 	if a.refused() {
@@ -336,6 +349,7 @@
 	}
 	if a.err != nil || a.view.State != "over" {
 		r.Lost++
+		r.Errors[lostAs(a)]++
 		return
 	}
 	r.Answered++
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -57,7 +57,14 @@
 	ctx, cancel := context.WithTimeout(ctx, args.Wait+n.cfg.Timing.Election)
 	defer cancel()
 	c := &calls{node: n}
-	return route(ctx, n.router, wire.MethodPoll, &args, args.Wait, c.Poll)
+	reply, err := attempt(ctx, n.router, wire.MethodPoll, &args, args.Wait, c.Poll)
+	if err == nil && (reply.Fault == nil || !reply.Fault.Retryable()) {
+		return reply.Value, reply.Fault
+	}
+	// The time of the first try is lost to the lease, so the next ones do
+	// not wait for orders.
+	args.Wait = 0
+	return route(ctx, n.router, wire.MethodPoll, &args, 0, c.Poll)
 }
 
 // Report keeps the events of a target.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -17,12 +17,18 @@
 const (
 	helloTimeout = 700 * time.Millisecond
 	pingEvery    = 300 * time.Millisecond
-	callTimeout  = 3 * time.Second
+	// silentPings is how many pings in a row go unanswered before the leader
+	// is taken for unreachable.
+	silentPings = 2
+	callTimeout = 3 * time.Second
 	// callSlack is added to the time that a call itself waits.
 	callSlack = 2 * time.Second
 	// Retries wait between these times, with jitter.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// failedFor is how long an address that did not answer is not taken for
+	// the leader's again.
+	failedFor = 300 * time.Millisecond
 	// The retry budget: so many retries a second, and in one burst.
 	retryRate  = 2000
 	retryBurst = 4000
@@ -32,10 +38,16 @@
 type router struct {
 	node   *Node
 	budget *rate.Limiter
+	// These belong to the goroutine that pings the leader.
+	probed  *peer.Client
+	probeTo string
+	silent  int
 
 	mu         sync.Mutex
 	clients    map[string]*peer.Client
 	leader     string
+	failed     string
+	failedAt   time.Time
 	membership raft.Membership
 	finding    chan struct{}
 }
@@ -56,6 +68,9 @@
 	for {
 		select {
 		case <-r.node.ctx.Done():
+			if r.probed != nil {
+				r.probed.Close()
+			}
 			return
 		case <-ticker.C:
 			r.ping()
@@ -63,25 +78,48 @@
 	}
 }
 
+// ping asks the leader on a connection of its own, which is not behind the
+// calls of others. Only when it stays silent is their connection given up:
+// giving it up under load would bring all of them back at once.
 func (r *router) ping() {
-	if r.node.Leading() {
-		return
-	}
 	address := r.known()
-	if address == "" {
+	if r.node.Leading() || address == "" {
+		r.silent = 0
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.node.ctx, helloTimeout)
 	defer cancel()
-	hello, err := r.hello(ctx, address)
-	if err != nil {
-		r.client(address).Reset()
-		r.forget(address)
+	var reply wire.Reply[wire.Hello]
+	args := &wire.HelloArgs{Name: r.node.cfg.Name}
+	probe := r.probe(address)
+	if err := probe.Call(ctx, wire.MethodHello, args, &reply); err != nil {
+		probe.Reset()
+		r.silent++
+		if r.silent >= silentPings || errors.Is(err, peer.ErrUnreachable) {
+			r.silent = 0
+			r.client(address).Reset()
+			r.forget(address)
+		}
 		return
 	}
-	if hello.Leader != "" && hello.Leader != address {
-		r.learn(hello.Leader)
+	r.silent = 0
+	if leader := reply.Value.Leader; leader != "" && leader != address {
+		r.learn(leader)
+	}
+}
+
+// probe returns the client that the address is pinged by. Only the pinging
+// goroutine uses it.
+func (r *router) probe(address string) *peer.Client {
+	if r.probeTo != address && r.probed != nil {
+		r.probed.Close()
+		r.probed = nil
+	}
+	if r.probed == nil {
+		r.probed = r.node.dialer.NewClient(address)
+		r.probeTo = address
 	}
+	return r.probed
 }
 
 func (r *router) known() string {
@@ -93,12 +131,19 @@
 func (r *router) learn(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if address == r.failed && time.Since(r.failedAt) < failedFor {
+		return
+	}
 	r.leader = address
 }
 
+// forget notes that the address did not answer. Peers may name it as the
+// leader for a while after it has gone.
 func (r *router) forget(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = address
+	r.failedAt = time.Now()
 	if r.leader == address {
 		r.leader = ""
 	}
@@ -276,27 +321,38 @@
 	} else if r.known() == "" || fault != nil {
 		r.find(ctx)
 	}
-	if !r.budget.Allow() {
+	// Beyond the budget retries wait for their turn: to fail them would only
+	// bring them back as new calls.
+	if err := r.budget.Wait(ctx); err != nil {
 		return unavailable("too many retries")
 	}
 	if _, fresh := r.node.Config(); !fresh {
 		// Another instance may be better placed, so the caller should not
-		// be kept here.
+		// be kept here for long; at once would let it come back in a loop.
+		pause(ctx, maxBackoff/2+rand.N(maxBackoff))
 		return unavailable("no leader heard from lately")
 	}
 	r.node.meter.Retries.Inc()
-	pause := *backoff/2 + rand.N(*backoff)
+	wait := *backoff/2 + rand.N(*backoff)
 	*backoff = min(2*(*backoff), maxBackoff)
-	timer := time.NewTimer(pause)
+	if pause(ctx, wait) {
+		return nil
+	}
+	if fault != nil {
+		return fault
+	}
+	return unavailable("no leader answered in time")
+}
+
+// pause waits, and tells false when the context ended first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil
+		return true
 	case <-ctx.Done():
-		if fault != nil {
-			return fault
-		}
-		return unavailable("no leader answered in time")
+		return false
 	}
 }
 
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -142,12 +142,17 @@
 	return group
 }
 
+// recheckAfter is when placements of unknown outcome are looked for in the
+// ledger.
+const recheckAfter = 2 * proposeTimeout
+
 // placeFailed takes the decisions back when they were surely not committed.
-// When that is not known, the leadership is lost or about to be, and the
-// engine is rebuilt from the ledger.
+// When that is not known, the leadership is most likely lost, and the engine
+// will be rebuilt from the ledger. If it is not, the ledger is asked later.
 func (l *leader) placeFailed(decisions []sched.Decision, fault *wire.Fault) {
 	l.node.log.Warnf("sched: placements not committed: %s", fault)
 	if fault.Code == wire.CodeUncertain {
+		l.goRun(func() { l.recheck(decisions) })
 		return
 	}
 	now := time.Now()
@@ -156,6 +161,28 @@
 	}
 }
 
+// recheck takes back what the ledger does not have. Should a placement come
+// to be committed later still, the engine is told of it.
+func (l *leader) recheck(decisions []sched.Decision) {
+	if !pause(l.ctx, recheckAfter) {
+		return
+	}
+	for _, d := range decisions {
+		job, ok := l.node.ledger.Job(ledger.JobID(d.Job))
+		if !ok || job.Over() {
+			continue
+		}
+		var missing []sched.Spot
+		for _, spot := range d.Spots {
+			if job.Tasks[spot.Task].Attempt < spot.Attempt {
+				missing = append(missing, spot)
+			}
+		}
+		l.engine.Refused(d.Job, missing, time.Now())
+	}
+	l.wakeScheduler()
+}
+
 func (l *leader) placeEnded(d sched.Decision, refusals []ledger.Refusal) {
 	var refused []sched.Spot
 	for i, spot := range d.Spots {
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -27,6 +27,9 @@
 }
 
 func (l *leader) announce(a ledger.Announce) (wire.PollReply, *wire.Fault) {
+	if fault := l.earlierSession(a); fault != nil {
+		return wire.PollReply{}, fault
+	}
 	value, fault := l.propose(l.ctx, ledger.Command{Announce: &a})
 	if fault != nil {
 		return wire.PollReply{}, fault
@@ -39,23 +42,31 @@
 	case "":
 		return wire.PollReply{TTL: l.granter.Terms().TTL}, nil
 	case ledger.RefusedLive:
-		l.supersede(a)
-		fault := wire.Newf(wire.CodeSessionLive, "an earlier session of the target may still run work")
-		fault.RetryAfter = sessionRetry
-		return wire.PollReply{}, fault
+		if fault := l.earlierSession(a); fault != nil {
+			return wire.PollReply{}, fault
+		}
 	}
 	return wire.PollReply{}, wire.Newf(wire.CodeBadRequest, string(result.Refusal))
 }
 
-// supersede renews the earlier session no more, so that its lease runs out.
-func (l *leader) supersede(a ledger.Announce) {
+// earlierSession tells when to announce again while an earlier session of the
+// target may be live. That session is renewed no more. The log is not asked:
+// many targets may come back at once, again and again.
+func (l *leader) earlierSession(a ledger.Announce) *wire.Fault {
 	target, ok := l.node.ledger.Target(a.Target)
 	if !ok || target.Session == a.Session {
-		return
+		return nil
 	}
+	key := keyOf(target)
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.superseded[keyOf(target)] = true
+	l.superseded[key] = true
+	l.mu.Unlock()
+	fault := wire.Newf(wire.CodeSessionLive, "an earlier session of the target may still run work")
+	fault.RetryAfter = sessionRetry
+	if end, ok := l.granter.End(key); ok {
+		fault.RetryAfter = max(time.Until(end), sessionRetry)
+	}
+	return fault
 }
 
 func (l *leader) isSuperseded(key sessionKey) bool {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,9 +16,6 @@
 	// redialAfter is how long an address that could not be reached is left
 	// alone.
 	redialAfter = 100 * time.Millisecond
-	// closeAfter is how many calls in a row may run out of time before the
-	// connection is taken for dead.
-	closeAfter = 3
 )
 
 // Errors of calls.
@@ -94,7 +91,6 @@
 	mu      sync.Mutex
 	conn    *rpc.Client
 	retryAt time.Time
-	timeout int
 	closed  bool
 }
 
@@ -134,12 +130,12 @@
 		return nil, err
 	}
 	c.conn = conn
-	c.timeout = 0
 	return conn, nil
 }
 
-// Call calls a method and waits for its reply until the context ends. It
-// fails with ErrUnreachable, ErrLost, or the error text of the method.
+// Call calls a method and waits for its reply until the context ends. A call
+// that runs out of time says nothing about the connection, which others use;
+// who finds out that it is dead calls Reset. It fails with ErrUnreachable, ErrLost, or the error text of the method.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -150,7 +146,6 @@
 	case <-call.Done:
 		return c.ended(conn, call.Error)
 	case <-ctx.Done():
-		c.timedOut(conn)
 		return errors.Wrapf(ErrLost, "%s to %s: %s", method, c.address, ctx.Err())
 	}
 }
@@ -169,31 +164,17 @@
 func (c *Client) ended(conn *rpc.Client, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
-		c.mu.Lock()
-		c.timeout = 0
-		c.mu.Unlock()
 		return err
 	}
 	c.drop(conn)
 	return errors.Wrapf(ErrLost, "%s: %s", c.address, err)
 }
 
-func (c *Client) timedOut(conn *rpc.Client) {
-	c.mu.Lock()
-	c.timeout++
-	dead := c.timeout >= closeAfter
-	c.mu.Unlock()
-	if dead {
-		c.drop(conn)
-	}
-}
-
 func (c *Client) drop(conn *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == conn {
 		c.conn = nil
-		c.timeout = 0
 	}
 	_ = conn.Close()
 }
--- a/pkg/sched/engine.go
+++ b/pkg/sched/engine.go
@@ -35,6 +35,8 @@
 	// reserved are the workers kept for the job.
 	reserved []*worker
 	reserve  time.Time
+	// withdrawn jobs have nothing that waits any more.
+	withdrawn bool
 	// doubtful jobs fit nowhere since the time.
 	doubtful   bool
 	doubtSince time.Time
@@ -319,12 +321,16 @@
 	}
 	for _, spot := range spots {
 		record := &job.tasks[spot.Task]
-		if record.stage != stagePlaced || record.attempt != spot.Attempt {
+		// The worker may have gone meanwhile, and taken the placement with
+		// it: the task waits all the same.
+		if record.stage == stageWaiting || record.attempt != spot.Attempt {
 			continue
 		}
 		e.freeTask(record, now)
 		record.attempt--
-		e.enqueue(job, spot.Task)
+		if !job.withdrawn {
+			e.enqueue(job, spot.Task)
+		}
 	}
 }
 
@@ -372,6 +378,7 @@
 	if !ok {
 		return
 	}
+	job.withdrawn = true
 	for task := range job.tasks {
 		e.unqueue(job, task)
 	}
--- a/pkg/sched/policy_test.go
+++ b/pkg/sched/policy_test.go
@@ -443,3 +443,21 @@
 	s.decide()
 	qt.Assert(t, s.runs, qt.HasLen, 2)
 }
+
+// TestRefusedAfterWorkerGone has a placement refused because its worker has
+// gone: the task must wait again.
+func TestRefusedAfterWorkerGone(t *testing.T) {
+	c := qt.New(t)
+	s := newShop(2)
+	id := s.submit(nil)
+	placed := s.decide()[0]
+	s.engine.RemoveWorker(placed.Spots[0].Worker)
+	s.engine.Refused(id, placed.Spots, s.now)
+	c.Assert(s.engine.Stats().Waiting, qt.Equals, 1)
+	again := s.decide()[0]
+	c.Assert(again.Spots[0].Attempt, qt.Equals, placed.Spots[0].Attempt)
+	// A job that is ending must not wait again.
+	s.engine.Withdraw(id)
+	s.engine.Refused(id, again.Spots, s.now)
+	c.Assert(s.engine.Stats().Waiting, qt.Equals, 0)
+}
