--- a/cmd/jasload/slopes.go
+++ b/cmd/jasload/slopes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/jasmineward/jasmineward/internal/load"
 	"github.com/jasmineward/jasmineward/internal/sizes"
@@ -70,13 +71,8 @@
 	}
 	held.Follower = over(held.Follower, followers)
 	held.Entry = over(held.Entry, held.Entries)
-	kept := file.Held[:0]
-	for _, other := range file.Held {
-		if other.Name != name {
-			kept = append(kept, other)
-		}
-	}
-	file.Held = append(kept, held)
+	file.Held = slices.DeleteFunc(file.Held, func(other sizes.Held) bool { return other.Name == name })
+	file.Held = append(file.Held, held)
 	return sizes.WriteFile(path, file)
 }
 
--- a/internal/sizes/plan.go
+++ b/internal/sizes/plan.go
@@ -105,79 +105,91 @@
 
 // Roles works out every role from the slopes.
 func (p Plan) Roles(f File) []Role {
+	follower := p.follower(f, "voter, following", "pipelined append, one sync a batch")
+	learner := p.follower(f, "learner", "as a following voter; snapshots in pieces")
+	return []Role{p.leader(f), follower, learner, p.entry(f), p.configFollower(f), p.session(f)}
+}
+
+// logBytes is what the log's entries take on the way to one follower.
+func (p Plan) logBytes() float64 {
+	return (p.Work().Commands*commandBytes + p.Starts*commandBytes/4) * 1.2
+}
+
+func (p Plan) leader(f File) Role {
 	w := p.Work()
-	state := p.stateMiB(f)
-	memory := runtimeMiB + heapFactor*state
-	stateText := formatState(state)
-	logBytes := (w.Commands*commandBytes + p.Starts*commandBytes/4) * 1.2
-	return []Role{
-		{
-			Name:      "voter, leading",
-			State:     stateText,
-			Messages:  w.Requests + callsPerBatch*w.Batches,
-			Syncs:     w.Batches,
-			Mechanism: "group commit, one engine, leases outside the log",
-			Cost: Cost{
-				Cores: p.leaderCores(f, w),
-				MiB:   memory + heapFactor*f.Find(SlopeEngine).At(float64(p.Workers))/mib,
-				Bytes: float64(p.Voters-1)*logBytes + w.Requests*requestBytes/3,
-			},
-		},
-		{
-			Name:      "voter, following",
-			State:     stateText,
-			Messages:  callsPerBatch * w.Batches,
-			Syncs:     w.Batches,
-			Mechanism: "pipelined append, one sync a batch",
-			Cost: Cost{
-				Cores: p.followerCores(f, w),
-				MiB:   memory,
-				Bytes: logBytes,
-			},
+	engine := heapFactor * f.Find(SlopeEngine).At(float64(p.Workers)) / mib
+	return Role{
+		Name:      "voter, leading",
+		State:     formatState(p.stateMiB(f)),
+		Messages:  w.Requests + callsPerBatch*w.Batches,
+		Syncs:     w.Batches,
+		Mechanism: "group commit, one engine, leases outside the log",
+		Cost: Cost{
+			Cores: p.leaderCores(f, w),
+			MiB:   runtimeMiB + heapFactor*p.stateMiB(f) + engine,
+			Bytes: float64(p.Voters-1)*p.logBytes() + w.Requests*requestBytes/3,
 		},
-		{
-			Name:      "learner",
-			State:     stateText,
-			Messages:  callsPerBatch * w.Batches,
-			Syncs:     w.Batches,
-			Mechanism: "as a following voter; snapshots in pieces",
-			Cost: Cost{
-				Cores: p.followerCores(f, w),
-				MiB:   memory,
-				Bytes: logBytes,
-			},
+	}
+}
+
+func (p Plan) follower(f File, name, mechanism string) Role {
+	w := p.Work()
+	return Role{
+		Name:      name,
+		State:     formatState(p.stateMiB(f)),
+		Messages:  callsPerBatch * w.Batches,
+		Syncs:     w.Batches,
+		Mechanism: mechanism,
+		Cost: Cost{
+			Cores: p.followerCores(f, w),
+			MiB:   runtimeMiB + heapFactor*p.stateMiB(f),
+			Bytes: p.logBytes(),
 		},
-		{
-			Name:      "entry instance",
-			State:     "configuration",
-			Messages:  2 * w.Requests / float64(p.Entries),
-			Mechanism: "forwards over one connection; no job stream",
-			Cost: Cost{
-				Cores: p.entryCores(f, w),
-				MiB:   runtimeMiB + heapFactor*p.configMiB(f) + float64(p.Workers)/float64(p.Entries)*goroutineMiB,
-				Bytes: w.Requests / float64(p.Entries) * requestBytes * 1.33,
-			},
+	}
+}
+
+func (p Plan) entry(f File) Role {
+	w := p.Work()
+	each := w.Requests / float64(p.Entries)
+	polls := float64(p.Workers) / float64(p.Entries) * goroutineMiB
+	return Role{
+		Name:      "entry instance",
+		State:     "configuration",
+		Messages:  2 * each,
+		Mechanism: "forwards over one connection; no job stream",
+		Cost: Cost{
+			Cores: p.entryCores(f, w),
+			MiB:   runtimeMiB + heapFactor*p.configMiB(f) + polls,
+			Bytes: each * requestBytes * 1.33,
 		},
-		{
-			Name:      "configuration follower",
-			State:     "configuration",
-			Messages:  2,
-			Mechanism: "long poll of the leader, notes in batches",
-			Cost: Cost{
-				Cores: 2 * f.Find(SlopeCodec).At(256) * millionths,
-				MiB:   runtimeMiB + heapFactor*p.configMiB(f),
-				Bytes: 2*feedBytes + p.Notes/secondsOfDay*noteBytes,
-			},
+	}
+}
+
+func (p Plan) configFollower(f File) Role {
+	return Role{
+		Name:      "configuration follower",
+		State:     "configuration",
+		Messages:  2,
+		Mechanism: "long poll of the leader, notes in batches",
+		Cost: Cost{
+			Cores: 2 * f.Find(SlopeCodec).At(256) * millionths,
+			MiB:   runtimeMiB + heapFactor*p.configMiB(f),
+			Bytes: 2*feedBytes + p.Notes/secondsOfDay*noteBytes,
 		},
-		{
-			Name:      "target session",
-			State:     "lease, attempts",
-			Messages:  2 * w.Requests / float64(p.Workers),
-			Mechanism: "the target's own poll; nothing of ours runs there",
-			Cost: Cost{
-				Cores: w.Requests / float64(p.Workers) * f.Find(SlopeHTTP).At(256) / 2 * millionths,
-				Bytes: w.Requests / float64(p.Workers) * f.Find(SlopePoll).At(float64(p.Running)/float64(p.Workers)),
-			},
+	}
+}
+
+func (p Plan) session(f File) Role {
+	each := p.Work().Requests / float64(p.Workers)
+	known := float64(p.Running) / float64(p.Workers)
+	return Role{
+		Name:      "target session",
+		State:     "lease, attempts",
+		Messages:  2 * each,
+		Mechanism: "the target's own poll; nothing of ours runs there",
+		Cost: Cost{
+			Cores: each * f.Find(SlopeHTTP).At(256) / 2 * millionths,
+			Bytes: each * f.Find(SlopePoll).At(known),
 		},
 	}
 }
--- a/pkg/raft/replica_test.go
+++ b/pkg/raft/replica_test.go
@@ -93,7 +93,7 @@
 	return r
 }
 
-func propose(t testing.TB, ctx context.Context, r *raft.Replica) any {
+func propose(ctx context.Context, t testing.TB, r *raft.Replica) any {
 	for {
 		value, err := r.Propose(ctx, []byte("x"))
 		if err == nil {
@@ -115,14 +115,14 @@
 	storage := open(t, dir, true)
 	first := start(t, 1, storage, w, &counter{})
 	for range 200 {
-		propose(t, ctx, first)
+		propose(ctx, t, first)
 	}
 	first.Stop()
 	c.Assert(storage.Close(), qt.IsNil)
 	storage = open(t, dir, false)
 	first = start(t, 1, storage, w, &counter{})
 	defer first.Stop()
-	c.Assert(propose(t, ctx, first), qt.Equals, any(201))
+	c.Assert(propose(ctx, t, first), qt.Equals, any(201))
 
 	machine := &counter{}
 	second := start(t, 2, open(t, t.TempDir(), false), w, machine)
@@ -135,7 +135,7 @@
 		c.Assert(ctx.Err(), qt.IsNil)
 		time.Sleep(10 * time.Millisecond)
 	}
-	value := propose(t, ctx, first)
+	value := propose(ctx, t, first)
 	c.Assert(first.Read(ctx), qt.IsNil)
 	for {
 		machine.mu.Lock()
