Leave the reply of a lost call alone

Cause: the race detector, in TestRestartAfterManyNotes and TestOracleCell: a reply that came after its deadline was written while the caller read it. Change: nothing is read of it after an error.

--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -178,8 +178,10 @@
 func (r *router) hello(ctx context.Context, address string) (wire.Hello, error) {
 	var reply wire.Reply[wire.Hello]
 	args := &wire.HelloArgs{Name: r.node.cfg.Name}
-	err := r.client(address).Call(ctx, wire.MethodHello, args, &reply)
-	return reply.Value, err
+	if err := r.client(address).Call(ctx, wire.MethodHello, args, &reply); err != nil {
+		return wire.Hello{}, err
+	}
+	return reply.Value, nil
 }
 
 // addresses returns every instance that may know the leader.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -135,7 +135,8 @@
 
 // Call calls a method and waits for its reply until the context ends. A call
 // that runs out of time says nothing about the connection, which others use;
-// who finds out that it is dead calls Reset. It fails with ErrUnreachable, ErrLost, or the error text of the method.
+// who finds out that it is dead calls Reset. After an error the reply must not
+// be looked at, as it may still be written. It fails with ErrUnreachable, ErrLost, or the error text of the method.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
