--- a/cmd/jasctl/cell.go
+++ b/cmd/jasctl/cell.go
@@ -7,7 +7,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/jasmineward/jasmineward/internal/client"
 	"github.com/jasmineward/jasmineward/internal/entry"
+	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
 func (t *tool) cell(ctx context.Context, name string, args []string) (entry.CellResponse, error) {
@@ -74,18 +76,32 @@
 	return nil
 }
 
-func instanceRemove(ctx context.Context, t *tool, args []string) error {
-	rest, _, err := t.parse("instance remove", args, 1)
+// named makes a call to the operators' listener about the thing that the one
+// argument names, and returns that name with the answer.
+func named[V any](
+	ctx context.Context, t *tool, command string, args []string,
+	call func(ctx context.Context, c *client.Client, name string) (V, error),
+) (string, V, error) {
+	var none V
+	rest, _, err := t.parse(command, args, 1)
 	if err != nil {
-		return err
+		return "", none, err
 	}
 	c, err := t.operators()
 	if err != nil {
-		return err
+		return "", none, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.timeout())
 	defer cancel()
-	members, err := c.RemoveInstance(ctx, rest[0])
+	answer, err := call(ctx, c, rest[0])
+	return rest[0], answer, err
+}
+
+func instanceRemove(ctx context.Context, t *tool, args []string) error {
+	remove := func(ctx context.Context, c *client.Client, name string) ([]raft.Member, error) {
+		return c.RemoveInstance(ctx, name)
+	}
+	_, members, err := named(ctx, t, "instance remove", args, remove)
 	if err != nil {
 		return err
 	}
@@ -121,19 +137,12 @@
 }
 
 func targetDrain(ctx context.Context, t *tool, args []string) error {
-	rest, _, err := t.parse("target drain", args, 1)
-	if err != nil {
-		return err
+	drain := func(ctx context.Context, c *client.Client, name string) (entry.LeaveResponse, error) {
+		return c.Drain(ctx, name)
 	}
-	c, err := t.operators()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, t.timeout())
-	defer cancel()
-	answer, err := c.Drain(ctx, rest[0])
+	name, answer, err := named(ctx, t, "target drain", args, drain)
 	if err != nil {
 		return err
 	}
-	return t.show(answer, []string{"TARGET", "STILL-RUNNING"}, [][]string{{rest[0], strconv.Itoa(answer.Running)}})
+	return t.show(answer, []string{"TARGET", "STILL-RUNNING"}, [][]string{{name, strconv.Itoa(answer.Running)}})
 }
