Give a dead connection up by the replies of all calls

Cause: two tests looked at a time bound while polling, and one of them failed under load: from 3 s on the key is dead, but the look itself took longer. Change: a connection is dead when two calls ran out of time and none had a reply for a second.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -16,6 +16,11 @@
 	// redialAfter is how long an address that could not be reached is left
 	// alone.
 	redialAfter = 100 * time.Millisecond
+	// A connection is taken for dead when so many calls in a row ran out of
+	// time and no reply of any call came for so long. A busy one still
+	// brings replies.
+	deadCalls = 2
+	deadAfter = time.Second
 )
 
 // Errors of calls.
@@ -92,6 +97,9 @@
 	conn    *rpc.Client
 	retryAt time.Time
 	closed  bool
+	// lost counts calls that ran out of time since the last reply.
+	lost      int
+	lastReply time.Time
 }
 
 // NewClient returns a client for calls that are served side by side.
@@ -130,13 +138,16 @@
 		return nil, err
 	}
 	c.conn = conn
+	c.lost = 0
+	c.lastReply = time.Now()
 	return conn, nil
 }
 
 // Call calls a method and waits for its reply until the context ends. A call
-// that runs out of time says nothing about the connection, which others use;
-// who finds out that it is dead calls Reset. After an error the reply must not
-// be looked at, as it may still be written. It fails with ErrUnreachable, ErrLost, or the error text of the method.
+// that runs out of time says little about the connection, which others use: it
+// is given up only when no call has had a reply for a while. After an error the
+// reply must not be looked at, as it may still be written. It fails with
+// ErrUnreachable, ErrLost, or the error text of the method.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -147,6 +158,7 @@
 	case <-call.Done:
 		return c.ended(conn, call.Error)
 	case <-ctx.Done():
+		c.timedOut(conn)
 		return errors.Wrapf(ErrLost, "%s to %s: %s", method, c.address, ctx.Err())
 	}
 }
@@ -165,12 +177,27 @@
 func (c *Client) ended(conn *rpc.Client, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
+		c.mu.Lock()
+		c.lost = 0
+		c.lastReply = time.Now()
+		c.mu.Unlock()
 		return err
 	}
 	c.drop(conn)
 	return errors.Wrapf(ErrLost, "%s: %s", c.address, err)
 }
 
+// timedOut notes a call without a reply, and gives a dead connection up.
+func (c *Client) timedOut(conn *rpc.Client) {
+	c.mu.Lock()
+	c.lost++
+	dead := c.lost >= deadCalls && time.Since(c.lastReply) > deadAfter
+	c.mu.Unlock()
+	if dead {
+		c.drop(conn)
+	}
+}
+
 func (c *Client) drop(conn *rpc.Client) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
