Drop what nothing reads, and answer a quiet poll from the orders at hand

Cause: read again as a whole: the stand-in target kept two fields and a method that nothing read, a runner's accessor and a column of the capacity file stood unused, and a poll that ran out of time worked its orders out twice from the same target. Change: removed; the second working out is gone. Conclusion: behaviour is as it was.

--- a/internal/fake/orders.go
+++ b/internal/fake/orders.go
@@ -37,7 +37,6 @@
 
 func (t *Target) take(order wire.Order) {
 	if !t.lease.Live(time.Now()) {
-		t.refused++
 		return
 	}
 	task := &task{order: order}
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -74,13 +74,10 @@
 	ttl     time.Duration
 	tasks   map[ledger.Attempt]*task
 	events  []ledger.Event
-	leaving bool
 	// failures counts polls and announcements that failed in a row. Only
 	// the polling goroutine uses it.
 	failures int
 	wake     chan struct{}
-	// refused are starts that came after the lease had ended.
-	refused int
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -133,7 +130,6 @@
 func (t *Target) Leave(ctx context.Context) error {
 	t.mu.Lock()
 	session := t.session
-	t.leaving = true
 	t.mu.Unlock()
 	_, err := t.client.Leave(ctx, t.cfg.ID, entry.LeaveRequest{Session: session})
 	if err != nil {
@@ -142,13 +138,6 @@
 	return nil
 }
 
-// Refused returns how many starts the target refused for want of a lease.
-func (t *Target) Refused() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.refused
-}
-
 func (t *Target) poll() {
 	defer t.done.Done()
 	for t.ctx.Err() == nil {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -77,11 +77,6 @@
 	}
 }
 
-// Witness returns what saw the runs.
-func (r *Runner) Witness() *fake.Witness {
-	return r.witness
-}
-
 // Prepare applies a release note for whatever of the sample note is not in
 // force yet, with a fresh key for each team, and starts the targets.
 func (r *Runner) Prepare(ctx context.Context, base note.Note) error {
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -114,7 +114,7 @@
 		select {
 		case <-raised:
 		case <-timer.C:
-			return l.granted(l.orders(target, args.Known))
+			return l.granted(reply)
 		case <-l.ctx.Done():
 			return wire.PollReply{}, l.node.notLeader()
 		}
--- a/internal/sizes/slope.go
+++ b/internal/sizes/slope.go
@@ -82,18 +82,17 @@
 type Held struct {
 	Name string `json:"name"`
 	// Load of the run.
-	Workers    int     `json:"workers"`
-	Running    int     `json:"running"`
-	Starts     float64 `json:"starts-per-second"`
-	Jobs       float64 `json:"jobs-per-second"`
-	Entries    int     `json:"entries"`
-	Kept       int     `json:"kept-jobs"`
-	Leader     Cost    `json:"leader"`
-	Follower   Cost    `json:"follower"`
-	Entry      Cost    `json:"entry"`
-	Broken     bool    `json:"broken"`
-	WaitP99    float64 `json:"wait-p99-ms"`
-	NoteMillis float64 `json:"note-in-force-ms"`
+	Workers  int     `json:"workers"`
+	Running  int     `json:"running"`
+	Starts   float64 `json:"starts-per-second"`
+	Jobs     float64 `json:"jobs-per-second"`
+	Entries  int     `json:"entries"`
+	Kept     int     `json:"kept-jobs"`
+	Leader   Cost    `json:"leader"`
+	Follower Cost    `json:"follower"`
+	Entry    Cost    `json:"entry"`
+	Broken   bool    `json:"broken"`
+	WaitP99  float64 `json:"wait-p99-ms"`
 }
 
 // Cost is what one instance spends.
