--- a/cmd/jasmined/main.go
+++ b/cmd/jasmined/main.go
@@ -11,10 +11,12 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/config"
 	"github.com/jasmineward/jasmineward/internal/daemon"
+	plat "github.com/jasmineward/jasmineward/platform"
 )
 
 const (
@@ -28,6 +30,9 @@
 }
 
 func run() int {
+	if len(os.Args) == 2 && os.Args[1] == "platform" {
+		return runPlatform()
+	}
 	path := flag.String("config", "", "settings file, in TOML")
 	check := flag.Bool("check", false, "check the settings and exit")
 	show := flag.Bool("print-config", false, "print the effective settings and exit")
@@ -53,6 +58,21 @@
 	return serve(settings, *form)
 }
 
+// runPlatform runs an instance of a group on the users' platform, which names
+// the settings file.
+func runPlatform() int {
+	err := plat.Run()
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, plat.ErrSettings), errors.Is(err, plat.ErrNoSettings):
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return exitFailed
+}
+
 func printSettings(settings config.Settings) int {
 	text, err := settings.Print()
 	if err != nil {
--- /dev/null
+++ b/internal/group/router.go
@@ -0,0 +1,351 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jasmineward/jasmineward/internal/peer"
+	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/raft"
+)
+
+const (
+	helloTimeout = 600 * time.Millisecond
+	pingEvery    = 400 * time.Millisecond
+	// callTimeout bounds one try of a call to the leader.
+	callTimeout = 1500 * time.Millisecond
+	minBackoff  = 10 * time.Millisecond
+	maxBackoff  = 200 * time.Millisecond
+	// failedFor is how long an address that did not answer is not taken for
+	// the leader's again.
+	failedFor = 300 * time.Millisecond
+	// retryAfter is told to callers while no leader is known.
+	retryAfter = time.Second
+)
+
+// router finds the leader and brings calls to it.
+type router struct {
+	host *Host
+
+	mu       sync.Mutex
+	clients  map[string]*peer.Client
+	probe    *peer.Client
+	probeTo  string
+	leader   string
+	failed   string
+	failedAt time.Time
+	// confirmed is when the leader answered last.
+	confirmed  time.Time
+	membership raft.Membership
+	finding    chan struct{}
+}
+
+func newRouter(h *Host) *router {
+	return &router{
+		host:    h,
+		clients: map[string]*peer.Client{},
+	}
+}
+
+// run pings the leader on a connection of its own, so that calls which wait
+// there are not stuck when it has fallen silent.
+func (r *router) run() {
+	for pause(r.host.ctx, pingEvery) {
+		r.ping()
+	}
+}
+
+func (r *router) ping() {
+	address := r.known()
+	switch {
+	case r.host.leads():
+		r.confirm(r.host.cfg.Address)
+		return
+	case address == "":
+		r.find(r.host.ctx)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
+	defer cancel()
+	var reply wire.Reply[wire.Hello]
+	probe := r.probeOf(address)
+	if err := probe.Call(ctx, methodHello, r.hello(), &reply); err != nil {
+		probe.Reset()
+		r.client(address).Reset()
+		r.forget(address)
+		r.host.log.WithError(err).WithField("leader", address).Warn("router: leader lost")
+		r.find(r.host.ctx)
+		return
+	}
+	r.learnMembers(reply.Value.Membership)
+	switch reply.Value.Leader {
+	case address:
+		r.confirm(address)
+	case "":
+		r.forget(address)
+	default:
+		r.learn(reply.Value.Leader)
+	}
+}
+
+func (r *router) hello() *wire.HelloArgs {
+	return &wire.HelloArgs{Name: r.host.cfg.Address}
+}
+
+func (r *router) probeOf(address string) *peer.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.probeTo != address && r.probe != nil {
+		r.probe.Close()
+		r.probe = nil
+	}
+	if r.probe == nil {
+		r.probe = r.host.dialer.NewClient(address)
+		r.probeTo = address
+	}
+	return r.probe
+}
+
+func (h *Host) leads() bool {
+	replica := h.replica.Load()
+	return replica != nil && replica.Status().Role == raft.RoleLeader
+}
+
+// Reachable tells whether the leader has answered within the time.
+func (h *Host) Reachable(within time.Duration) bool {
+	h.router.mu.Lock()
+	defer h.router.mu.Unlock()
+	return time.Since(h.router.confirmed) < within
+}
+
+func (r *router) confirm(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader != address {
+		r.host.log.WithField("leader", address).Info("router: leader found")
+	}
+	r.leader = address
+	r.confirmed = time.Now()
+}
+
+func (r *router) known() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
+
+func (r *router) learn(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address == "" || address == r.failed && time.Since(r.failedAt) < failedFor {
+		return
+	}
+	r.leader = address
+}
+
+func (r *router) forget(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed = address
+	r.failedAt = time.Now()
+	if r.leader == address {
+		r.leader = ""
+	}
+}
+
+func (r *router) members() raft.Membership {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.membership
+}
+
+func (r *router) learnMembers(m raft.Membership) {
+	if len(m.Members) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.membership = m
+}
+
+func (r *router) client(address string) *peer.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.clients[address]
+	if c == nil {
+		c = r.host.dialer.NewClient(address)
+		r.clients[address] = c
+	}
+	return c
+}
+
+// ask returns the answer of a peer that belongs to a group, preferring one
+// that knows the leader, or nil.
+func (r *router) ask(ctx context.Context) *wire.Hello {
+	addresses := r.addresses()
+	answers := make(chan *wire.Hello, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply wire.Reply[wire.Hello]
+			if err := r.client(address).Call(ctx, methodHello, r.hello(), &reply); err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &reply.Value
+		}()
+	}
+	var found *wire.Hello
+	for range addresses {
+		hello := <-answers
+		if hello == nil || hello.Cell == "" {
+			continue
+		}
+		if hello.Leader != "" && !r.hasFailed(hello.Leader) {
+			return hello
+		}
+		found = hello
+	}
+	return found
+}
+
+func (r *router) hasFailed(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return address == r.failed && time.Since(r.failedAt) < failedFor
+}
+
+// addresses returns every instance that may know the leader.
+func (r *router) addresses() []string {
+	seen := map[string]bool{r.host.cfg.Address: true}
+	var all []string
+	add := func(address string) {
+		if address != "" && !seen[address] {
+			seen[address] = true
+			all = append(all, address)
+		}
+	}
+	for _, member := range r.members().Members {
+		add(member.Address)
+	}
+	for _, seed := range r.host.cfg.Seeds {
+		add(seed)
+	}
+	return all
+}
+
+// find asks the peers for the leader. Callers that come meanwhile share one
+// search.
+func (r *router) find(ctx context.Context) {
+	r.mu.Lock()
+	searching := r.finding
+	if searching == nil {
+		searching = make(chan struct{})
+		r.finding = searching
+		go r.search(searching)
+	}
+	r.mu.Unlock()
+	select {
+	case <-searching:
+	case <-ctx.Done():
+	}
+}
+
+func (r *router) search(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
+	defer cancel()
+	if hello := r.ask(ctx); hello != nil {
+		r.learn(hello.Leader)
+		r.learnMembers(hello.Membership)
+	}
+	r.mu.Lock()
+	r.finding = nil
+	r.mu.Unlock()
+	close(done)
+}
+
+func (r *router) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.clients {
+		c.Close()
+	}
+	if r.probe != nil {
+		r.probe.Close()
+	}
+}
+
+// Route brings an idempotent call to the leader, trying again until the
+// context ends. Where this instance leads, local serves it.
+func Route[A, V any](
+	ctx context.Context, h *Host, method string, args *A, local func(*A, *wire.Reply[V]) error,
+) (V, *wire.Fault) {
+	backoff := minBackoff
+	for {
+		reply, err := attempt(ctx, h, method, args, local)
+		if err == nil && (reply.Fault == nil || !reply.Fault.Retryable()) {
+			return reply.Value, reply.Fault
+		}
+		if reply.Fault != nil {
+			err = reply.Fault
+		}
+		h.log.WithError(err).WithField("method", method).Debug("router: call is tried again")
+		if h.router.known() == "" || reply.Fault != nil {
+			h.router.find(ctx)
+		}
+		wait := backoff/2 + rand.N(backoff)
+		backoff = min(2*backoff, maxBackoff)
+		if !pause(ctx, wait) {
+			fault := wire.Newf(wire.CodeUnavailable, "no leader answered in time")
+			fault.RetryAfter = retryAfter
+			return reply.Value, fault
+		}
+	}
+}
+
+func attempt[A, V any](
+	ctx context.Context, h *Host, method string, args *A, local func(*A, *wire.Reply[V]) error,
+) (wire.Reply[V], error) {
+	var reply wire.Reply[V]
+	if h.leads() {
+		return reply, local(args, &reply)
+	}
+	address := h.router.known()
+	if address == "" || address == h.cfg.Address {
+		return reply, peer.ErrUnreachable
+	}
+	return callAt[A, V](ctx, h, address, method, args, callTimeout)
+}
+
+func callAt[A, V any](
+	ctx context.Context, h *Host, address, method string, args *A, limit time.Duration,
+) (wire.Reply[V], error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	// A lost reply may still be written, so it has room of its own.
+	reply := &wire.Reply[V]{}
+	if err := h.router.client(address).Call(ctx, method, args, reply); err != nil {
+		return wire.Reply[V]{}, err
+	}
+	return *reply, nil
+}
+
+// CallAt makes one call to the instance at the address.
+func CallAt[A, V any](
+	ctx context.Context, h *Host, address, method string, args *A, limit time.Duration,
+) (wire.Reply[V], error) {
+	return callAt[A, V](ctx, h, address, method, args, limit)
+}
+
+// pause waits, and tells false when the context ended first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 )
@@ -63,7 +63,7 @@
 		return errUnknownCell
 	}
 	n.router.learnMembers(hello.Membership)
-	id, err := newIdentity(hello.Cell)
+	id, err := group.NewIdentity(hello.Cell)
 	if err != nil {
 		return err
 	}
@@ -151,16 +151,16 @@
 
 func (l *leader) improveVoters() {
 	replica := l.node.replica.Load()
-	plan := voterPlan{
-		status:  replica.Status(),
-		silent:  replica.Silent(l.ctx),
-		wanted:  l.node.cfg.Voters,
-		replace: l.node.cfg.Timing.Replace,
-		caughtUp: func(id raft.ID) bool {
+	plan := group.VoterPlan{
+		Status:  replica.Status(),
+		Silent:  replica.Silent(l.ctx),
+		Wanted:  l.node.cfg.Voters,
+		Replace: l.node.cfg.Timing.Replace,
+		CaughtUp: func(id raft.ID) bool {
 			return replica.CaughtUp(l.ctx, id)
 		},
 	}
-	next, what := plan.step()
+	next, what := plan.Step()
 	if what == "" {
 		return
 	}
@@ -170,142 +170,3 @@
 	}
 	l.node.log.Infof("member: %s", what)
 }
-
-// voterPlan finds the next change of membership.
-type voterPlan struct {
-	status   raft.Status
-	silent   map[raft.ID]time.Duration
-	wanted   int
-	replace  time.Duration
-	caughtUp func(raft.ID) bool
-}
-
-// step returns the next membership and what it does, or "" for none.
-func (p voterPlan) step() (raft.Membership, string) {
-	if old, ok := p.lostDisk(); ok {
-		return p.status.Membership.Without(old.ID), "removed lost replica of " + old.Name
-	}
-	voters := len(p.status.Membership.Voters())
-	spare, hasSpare := p.bestSpare()
-	dead, hasDead := p.deadVoter()
-	switch {
-	case voters < p.wanted && hasSpare:
-		return p.promote(spare)
-	case voters == p.wanted && hasDead && hasSpare:
-		return p.promote(spare)
-	case voters > p.wanted && hasDead:
-		return p.status.Membership.Without(dead.ID), "removed silent voter " + dead.Name
-	case voters > p.wanted:
-		return p.demoteOne()
-	case voters == p.wanted && hasSpare && p.improves(spare):
-		return p.promote(spare)
-	}
-	return raft.Membership{}, ""
-}
-
-func (p voterPlan) promote(spare raft.Member) (raft.Membership, string) {
-	spare.Voter = true
-	return p.status.Membership.With(spare), "made voter of " + spare.Name
-}
-
-// lostDisk returns a member whose name has come back under another id.
-func (p voterPlan) lostDisk() (raft.Member, bool) {
-	for _, old := range p.status.Membership.Members {
-		if p.silent[old.ID] < time.Second || old.ID == p.status.ID {
-			continue
-		}
-		for _, other := range p.status.Membership.Members {
-			if other.Name == old.Name && other.ID != old.ID && p.silent[other.ID] < time.Second {
-				return old, true
-			}
-		}
-	}
-	return raft.Member{}, false
-}
-
-func (p voterPlan) deadVoter() (raft.Member, bool) {
-	for _, member := range p.status.Membership.Members {
-		if member.Voter && member.ID != p.status.ID && p.silent[member.ID] >= p.replace {
-			return member, true
-		}
-	}
-	return raft.Member{}, false
-}
-
-// bestSpare returns a live learner that has caught up, one whose failure
-// domain has the fewest live voters.
-func (p voterPlan) bestSpare() (raft.Member, bool) {
-	var spares []raft.Member
-	for _, member := range p.status.Membership.Members {
-		if !member.Voter && p.silent[member.ID] < time.Second && p.caughtUp(member.ID) {
-			spares = append(spares, member)
-		}
-	}
-	if len(spares) == 0 {
-		return raft.Member{}, false
-	}
-	sort.Slice(spares, func(i, j int) bool {
-		a, b := p.votersIn(spares[i].Domain), p.votersIn(spares[j].Domain)
-		if a != b {
-			return a < b
-		}
-		return spares[i].Name < spares[j].Name
-	})
-	return spares[0], true
-}
-
-// votersIn counts the voters of the domain that are not silent for long.
-func (p voterPlan) votersIn(domain string) int {
-	count := 0
-	for _, member := range p.status.Membership.Members {
-		live := member.ID == p.status.ID || p.silent[member.ID] < p.replace
-		if member.Voter && live && member.Domain == domain {
-			count++
-		}
-	}
-	return count
-}
-
-// improves tells whether the spare would spread the voters wider: some
-// domain has two of them and the spare's has none.
-func (p voterPlan) improves(spare raft.Member) bool {
-	if p.votersIn(spare.Domain) > 0 {
-		return false
-	}
-	_, crowded := p.crowdedVoter()
-	return crowded
-}
-
-// crowdedVoter returns a voter, not this one, whose domain has another.
-func (p voterPlan) crowdedVoter() (raft.Member, bool) {
-	for _, member := range p.status.Membership.Members {
-		if member.Voter && member.ID != p.status.ID && p.votersIn(member.Domain) > 1 {
-			return member, true
-		}
-	}
-	return raft.Member{}, false
-}
-
-// demoteOne makes a learner again of one voter too many.
-func (p voterPlan) demoteOne() (raft.Membership, string) {
-	member, ok := p.crowdedVoter()
-	if !ok {
-		member, ok = p.lastVoter()
-	}
-	if !ok {
-		return raft.Membership{}, ""
-	}
-	member.Voter = false
-	return p.status.Membership.With(member), "made learner of " + member.Name
-}
-
-// lastVoter returns the voter that was listed last, other than this one.
-func (p voterPlan) lastVoter() (raft.Member, bool) {
-	for i := len(p.status.Membership.Members) - 1; i >= 0; i-- {
-		member := p.status.Membership.Members[i]
-		if member.Voter && member.ID != p.status.ID {
-			return member, true
-		}
-	}
-	return raft.Member{}, false
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/ledger"
 	"github.com/jasmineward/jasmineward/internal/meter"
 	"github.com/jasmineward/jasmineward/internal/peer"
@@ -99,13 +100,13 @@
 	engine    []sched.Option
 
 	mu        sync.Mutex
-	identity  identity
+	identity  group.Identity
 	storage   *raft.DiskStorage
 	transport *peer.LogTransport
 	replica   atomic.Pointer[raft.Replica]
 	ledger    *ledger.Ledger
 	machine   *machine
-	lock      *folderLock
+	lock      *group.FolderLock
 
 	lead     atomic.Pointer[leader]
 	failed   chan struct{}
@@ -323,6 +324,6 @@
 		_ = n.storage.Close()
 	}
 	if n.lock != nil {
-		n.lock.release()
+		n.lock.Release()
 	}
 }
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,457 @@
+// Package plan decides which waiting tasks go to which targets, and about
+// which targets the advisor is to be asked. It only reads; the ledger checks
+// what it proposes.
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/pkg/quota"
+)
+
+const (
+	// maxSpots bounds the tasks placed by one decision.
+	maxSpots = 400
+	// askAbout is how many targets one call for advice names at most.
+	askAbout = 30
+	// ticketSlack is how long a ticket must still last for a start.
+	ticketSlack = 300 * time.Millisecond
+)
+
+// StepKey names one step of one occurrence.
+type StepKey struct {
+	Job        graph.JobID
+	Occurrence int
+	Step       int
+}
+
+// Ticket lets the tasks of a step start on a target until it runs out.
+type Ticket struct {
+	Value string
+	Until time.Time
+}
+
+// Advised is what is known of a step from the advisor.
+type Advised struct {
+	// Good has the targets that may run the step, and their tickets.
+	Good map[string]Ticket
+	// Asked has all that the advisor was asked about.
+	Asked map[string]bool
+	// Busy tells that a call is under way.
+	Busy bool
+}
+
+// Input is what a decision is made from.
+type Input struct {
+	View *graph.View
+	Now  time.Time
+	// Advice returns what is known of a step, or nil.
+	Advice func(StepKey) *Advised
+	// Usable tells whether the target answers.
+	Usable func(graph.TargetID) bool
+	// Speed is how fast the target works; 1 is usual.
+	Speed func(graph.TargetID) float64
+}
+
+// Question asks the advisor about targets for a step.
+type Question struct {
+	Step    StepKey
+	Queue   graph.Queue
+	Targets []string
+}
+
+// Decision is what a plan comes to.
+type Decision struct {
+	Groups    [][]graph.Spot
+	Tickets   map[graph.TaskRef]string
+	Questions []Question
+}
+
+// round is a step whose turn has come, with tasks that wait.
+type round struct {
+	job   *graph.Job
+	queue *graph.Queue
+	key   StepKey
+	step  *graph.Step
+	tasks []graph.Task
+	// due is when the job's aim passes.
+	due      graph.Millis
+	priority int
+}
+
+// planner holds one decision as it is made.
+type planner struct {
+	in      Input
+	targets map[string][]*slot
+	byID    map[string]*slot
+	used    map[string]quota.Room
+	out     Decision
+	spots   int
+}
+
+// slot is a target with the room that is left in this decision.
+type slot struct {
+	target *graph.Target
+	free   quota.Room
+	placed map[StepKey]int
+	speed  float64
+	// serves and fills count lasting tasks with a latency, and filler tasks.
+	serves int
+	fills  int
+}
+
+// Decide returns the placements and questions for now.
+func Decide(in Input) Decision {
+	p := &planner{
+		in:      in,
+		targets: map[string][]*slot{},
+		byID:    map[string]*slot{},
+		used:    map[string]quota.Room{},
+	}
+	p.out.Tickets = map[graph.TaskRef]string{}
+	rounds := p.rounds()
+	if len(rounds) == 0 {
+		return p.out
+	}
+	p.slots()
+	for _, r := range rounds {
+		if p.spots >= maxSpots {
+			break
+		}
+		p.placeRound(r)
+	}
+	return p.out
+}
+
+// rounds returns the steps that have tasks waiting, most urgent first.
+func (p *planner) rounds() []*round {
+	var all []*round
+	for _, job := range p.in.View.Jobs() {
+		if job.Waiting == 0 {
+			continue
+		}
+		all = append(all, p.roundsOf(job)...)
+	}
+	sort.Slice(all, func(i, j int) bool { return before(all[i], all[j]) })
+	return all
+}
+
+func (p *planner) roundsOf(job *graph.Job) []*round {
+	var all []*round
+	queue := p.in.View.QueueOf(job)
+	for k := range job.Occurrences {
+		o := &job.Occurrences[k]
+		for i := range o.Rounds {
+			if o.Rounds[i].Waiting == 0 || !job.Turn(k, i, p.in.View.Now) {
+				continue
+			}
+			r := &round{
+				job:   job,
+				queue: queue,
+				key: StepKey{
+					Job:        job.ID,
+					Occurrence: k,
+					Step:       i,
+				},
+				step:  &job.Spec.Steps[i],
+				tasks: o.Rounds[i].Tasks,
+				due:   max(job.Admitted, o.Due) + aim(job, queue),
+			}
+			if queue != nil {
+				r.priority = queue.Priority
+			}
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// aim returns how long the job should take at most, by its own estimates.
+func aim(job *graph.Job, queue *graph.Queue) graph.Millis {
+	longest := make([]graph.Millis, len(job.Spec.Steps))
+	var chain graph.Millis
+	for i, step := range job.Spec.Steps {
+		for _, d := range step.Depends {
+			longest[i] = max(longest[i], longest[d])
+		}
+		longest[i] += step.Estimate
+		chain = max(chain, longest[i])
+	}
+	if queue == nil {
+		return chain
+	}
+	return graph.Millis(queue.Stretch*float64(chain)) + queue.Latency
+}
+
+func before(a, b *round) bool {
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.step.Lasting != b.step.Lasting {
+		return a.step.Lasting
+	}
+	if a.step.Filler != b.step.Filler {
+		return b.step.Filler
+	}
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	if a.key.Job != b.key.Job {
+		return a.key.Job < b.key.Job
+	}
+	return a.key.Step < b.key.Step
+}
+
+func (p *planner) slots() {
+	for id, t := range p.in.View.Targets() {
+		if t.Leaving || !p.in.Usable(id) {
+			continue
+		}
+		s := &slot{
+			target: t,
+			free:   t.Free(),
+			placed: map[StepKey]int{},
+			speed:  p.in.Speed(id),
+		}
+		for ref, held := range t.Runs {
+			if held.Filler {
+				s.fills++
+			} else if job := p.in.View.Jobs()[ref.Job]; job != nil && job.Spec.Steps[ref.Step].Latency > 0 {
+				s.serves++
+			}
+		}
+		p.targets[t.Service] = append(p.targets[t.Service], s)
+		p.byID[id.ID] = s
+	}
+	for _, slots := range p.targets {
+		sort.Slice(slots, func(i, j int) bool { return slots[i].target.ID.ID < slots[j].target.ID.ID })
+	}
+}
+
+// placeRound places what it can of a round.
+func (p *planner) placeRound(r *round) {
+	var advised *Advised
+	if r.queue != nil && r.queue.Advice != nil {
+		advised = p.in.Advice(r.key)
+		if !p.advisable(r, advised) {
+			return
+		}
+	}
+	var spots []graph.Spot
+	var run uint32
+	for i := range r.tasks {
+		run = max(run, r.tasks[i].Run+1)
+	}
+	for i := range r.tasks {
+		task := &r.tasks[i]
+		if task.State != graph.TaskWaiting || task.Held > 0 {
+			continue
+		}
+		ref := graph.TaskRef{
+			Job:        r.key.Job,
+			Occurrence: r.key.Occurrence,
+			Step:       r.key.Step,
+			Index:      i,
+		}
+		s := p.choose(r, ref, advised)
+		if s == nil {
+			if r.step.Gang {
+				p.undo(r, spots)
+				return
+			}
+			break
+		}
+		spot := graph.Spot{
+			Task:   ref,
+			Run:    task.Run + 1,
+			Target: s.target.ID,
+		}
+		if r.step.Gang {
+			spot.Run = run
+		}
+		p.take(r, s, advised, ref)
+		spots = append(spots, spot)
+	}
+	p.commit(r, spots)
+}
+
+func (p *planner) commit(r *round, spots []graph.Spot) {
+	if len(spots) == 0 {
+		return
+	}
+	p.spots += len(spots)
+	if r.step.Gang {
+		if len(spots) == len(r.tasks) {
+			p.out.Groups = append(p.out.Groups, spots)
+		} else {
+			p.undo(r, spots)
+		}
+		return
+	}
+	for _, spot := range spots {
+		p.out.Groups = append(p.out.Groups, []graph.Spot{spot})
+	}
+}
+
+func (p *planner) take(r *round, s *slot, advised *Advised, ref graph.TaskRef) {
+	s.free = s.free.Sub(r.step.Takes())
+	s.placed[r.key]++
+	p.used[r.job.Tenant] = p.used[r.job.Tenant].Add(r.step.Room)
+	if r.step.Filler {
+		s.fills++
+	} else if r.step.Latency > 0 {
+		s.serves++
+	}
+	if advised != nil {
+		p.out.Tickets[ref] = advised.Good[s.target.ID.ID].Value
+	}
+}
+
+func (p *planner) undo(r *round, spots []graph.Spot) {
+	for _, spot := range spots {
+		s := p.byID[spot.Target.ID]
+		s.free = s.free.Add(r.step.Takes())
+		s.placed[r.key]--
+		p.used[r.job.Tenant] = p.used[r.job.Tenant].Sub(r.step.Room)
+		delete(p.out.Tickets, spot.Task)
+	}
+}
+
+// choose returns the target for a task, or nil.
+func (p *planner) choose(r *round, ref graph.TaskRef, advised *Advised) *slot {
+	usage, tenant := p.in.View.Tenant(r.job.Tenant)
+	if tenant != nil {
+		sum := usage.Add(p.used[r.job.Tenant]).Add(r.step.Room)
+		if !graph.Within(sum, tenant.Limit) {
+			return nil
+		}
+	}
+	var best *slot
+	bestScore := 0.0
+	for _, s := range p.targets[p.in.View.ServiceOf(r.job)] {
+		if !p.fits(r, ref, s, advised) {
+			continue
+		}
+		if score := p.score(r, s); best == nil || score > bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+func (p *planner) fits(r *round, ref graph.TaskRef, s *slot, advised *Advised) bool {
+	if !r.step.Takes().Fits(s.free) || !s.target.Has(r.step.Label) {
+		return false
+	}
+	if advised != nil {
+		ticket, ok := advised.Good[s.target.ID.ID]
+		if !ok || ticket.Until.Sub(p.in.Now) < ticketSlack {
+			return false
+		}
+	}
+	return r.step.Spread == 0 || s.target.CountOf(ref)+s.placed[r.key] < r.step.Spread
+}
+
+// score rates a target that fits: fast ones, near the data, beside alike
+// work, and of these the fullest, so that wide tasks still find room.
+func (p *planner) score(r *round, s *slot) float64 {
+	score := 2 * s.speed
+	if r.step.Rack != "" && s.target.Rack == r.step.Rack {
+		score += 4
+	}
+	if r.step.Tight && s.placed[r.key] > 0 {
+		score += 4
+	}
+	if r.step.Filler && s.serves > 0 {
+		score -= 8
+	}
+	if r.step.Latency > 0 && s.fills > 0 {
+		score -= 8
+	}
+	return score - s.free.Dominant(s.target.Capacity)
+}
+
+// advisable tells whether there is advice to place the round by. If not, or
+// if too little of it is left, it asks.
+func (p *planner) advisable(r *round, advised *Advised) bool {
+	room := 0
+	if advised != nil {
+		for id, ticket := range advised.Good {
+			s := p.byID[id]
+			if s != nil && ticket.Until.Sub(p.in.Now) >= ticketSlack {
+				room += copies(r.step, s)
+			}
+		}
+	}
+	waiting := 0
+	for i := range r.tasks {
+		if r.tasks[i].State == graph.TaskWaiting {
+			waiting++
+		}
+	}
+	if room < waiting && (advised == nil || !advised.Busy) {
+		p.ask(r, advised)
+	}
+	return room > 0
+}
+
+// copies returns how many tasks of the step the target has room for.
+func copies(step *graph.Step, s *slot) int {
+	n := 0
+	takes := step.Takes()
+	for left := s.free; takes.Fits(left) && n < step.Count; left = left.Sub(takes) {
+		n++
+		if step.Spread > 0 && n >= step.Spread {
+			break
+		}
+	}
+	return n
+}
+
+// ask names the targets with the most room: first those known to be good,
+// whose tickets have run out, then those not asked about yet.
+func (p *planner) ask(r *round, advised *Advised) {
+	type option struct {
+		id     string
+		known  bool
+		copies int
+	}
+	var options []option
+	for _, s := range p.targets[p.in.View.ServiceOf(r.job)] {
+		id := s.target.ID.ID
+		n := copies(r.step, s)
+		if n == 0 || !s.target.Has(r.step.Label) {
+			continue
+		}
+		o := option{
+			id:     id,
+			copies: n,
+		}
+		if advised != nil {
+			ticket, good := advised.Good[id]
+			if advised.Asked[id] && !good || good && ticket.Until.Sub(p.in.Now) >= ticketSlack {
+				continue
+			}
+			o.known = good
+		}
+		options = append(options, o)
+	}
+	sort.SliceStable(options, func(i, j int) bool {
+		if options[i].known != options[j].known {
+			return options[i].known
+		}
+		return options[i].copies > options[j].copies
+	})
+	q := Question{
+		Step:  r.key,
+		Queue: *r.queue,
+	}
+	for _, o := range options[:min(askAbout, len(options))] {
+		q.Targets = append(q.Targets, o.id)
+	}
+	if len(q.Targets) > 0 {
+		p.out.Questions = append(p.out.Questions, q)
+	}
+}
--- /dev/null
+++ b/internal/push/advice.go
@@ -0,0 +1,213 @@
+package push
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/group"
+	"github.com/jasmineward/jasmineward/internal/plan"
+)
+
+const (
+	// adviceSlack is added to the time that a call for advice should take.
+	adviceSlack = 700 * time.Millisecond
+	// nodeWithin is how lately an instance must have been heard from to be
+	// asked to call the advisor.
+	nodeWithin = 1500 * time.Millisecond
+	// nodeRest is how long an instance that failed to call is left alone.
+	nodeRest = 2 * time.Second
+)
+
+// advice keeps what the advisor has said, and spreads the calls to it over
+// the instances, as it serves one call at a time of each.
+type advice struct {
+	leader *leader
+
+	mu    sync.Mutex
+	steps map[plan.StepKey]*plan.Advised
+	nodes map[string]*adviceNode
+}
+
+// adviceNode is an instance that calls the advisor.
+type adviceNode struct {
+	// until is when the calls given to it should be over.
+	until time.Time
+	// rest is until when it is left alone.
+	rest time.Time
+}
+
+func newAdvice(l *leader) *advice {
+	return &advice{
+		leader: l,
+		steps:  map[plan.StepKey]*plan.Advised{},
+		nodes:  map[string]*adviceNode{},
+	}
+}
+
+// of returns what is known of the step, or nil. It is never changed.
+func (a *advice) of(key plan.StepKey) *plan.Advised {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.steps[key]
+}
+
+// ask asks on a goroutine of its own, unless a call is under way.
+func (a *advice) ask(q plan.Question) {
+	a.mu.Lock()
+	known := a.steps[q.Step]
+	if known != nil && known.Busy {
+		a.mu.Unlock()
+		return
+	}
+	next := &plan.Advised{Busy: true}
+	if known != nil {
+		next.Good = known.Good
+		next.Asked = known.Asked
+	}
+	a.steps[q.Step] = next
+	address, wait := a.pick(costOf(q))
+	a.mu.Unlock()
+	a.leader.goRun(func() { a.call(q, address, wait) })
+}
+
+func costOf(q plan.Question) time.Duration {
+	return q.Queue.Advice.Base + time.Duration(len(q.Targets))*q.Queue.Advice.Each
+}
+
+// pick returns the instance that is through with its calls first, and how
+// long a call to it should take.
+func (a *advice) pick(cost time.Duration) (string, time.Duration) {
+	now := time.Now()
+	best := ""
+	for _, address := range a.leader.part.host.Nodes(nodeWithin) {
+		node := a.nodes[address]
+		if node == nil {
+			node = &adviceNode{}
+			a.nodes[address] = node
+		}
+		if node.until.Before(now) {
+			node.until = now
+		}
+		if node.rest.After(now) {
+			continue
+		}
+		if best == "" || node.until.Before(a.nodes[best].until) {
+			best = address
+		}
+	}
+	if best == "" {
+		best = a.leader.part.host.Address()
+	}
+	node := a.nodes[best]
+	node.until = node.until.Add(cost)
+	return best, node.until.Sub(now)
+}
+
+func (a *advice) call(q plan.Question, address string, wait time.Duration) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(a.leader.ctx, wait+adviceSlack)
+	defer cancel()
+	got, err := a.callAt(ctx, q, address, wait+adviceSlack)
+	fields := logrus.Fields{
+		"job":     q.Step.Job,
+		"step":    q.Step.Step,
+		"asked":   len(q.Targets),
+		"through": address,
+		"took":    time.Since(sent).Milliseconds(),
+	}
+	if err != nil {
+		a.leader.log.WithError(err).WithFields(fields).Warn("advice: no answer")
+		a.failed(q.Step, address)
+		a.leader.poke()
+		return
+	}
+	fields["good"] = len(got.Good)
+	a.leader.log.WithFields(fields).Info("advice: answered")
+	a.store(q, got, sent)
+	a.leader.poke()
+}
+
+func (a *advice) callAt(
+	ctx context.Context, q plan.Question, address string, limit time.Duration,
+) (Advice, error) {
+	step := graph.TaskRef{
+		Job:        q.Step.Job,
+		Occurrence: q.Step.Occurrence,
+		Step:       q.Step.Step,
+	}
+	if address == a.leader.part.host.Address() {
+		return a.leader.part.advisor.Advise(ctx, step, q.Targets)
+	}
+	args := &AdviseArgs{
+		Step:    step,
+		Targets: q.Targets,
+		Limit:   limit,
+	}
+	reply, err := group.CallAt[AdviseArgs, Advice](ctx, a.leader.part.host, address, methodAdvise, args, limit)
+	if err != nil {
+		return Advice{}, err
+	}
+	if reply.Fault != nil {
+		return Advice{}, reply.Fault
+	}
+	return reply.Value, nil
+}
+
+func (a *advice) failed(key plan.StepKey, address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if node := a.nodes[address]; node != nil {
+		node.rest = time.Now().Add(nodeRest)
+	}
+	if known := a.steps[key]; known != nil {
+		a.steps[key] = &plan.Advised{
+			Good:  known.Good,
+			Asked: known.Asked,
+		}
+	}
+}
+
+// store keeps an answer. Tickets last from when the call was sent, which is
+// before they were made.
+func (a *advice) store(q plan.Question, got Advice, sent time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next := &plan.Advised{
+		Good:  map[string]plan.Ticket{},
+		Asked: map[string]bool{},
+	}
+	if known := a.steps[q.Step]; known != nil {
+		maps.Copy(next.Good, known.Good)
+		maps.Copy(next.Asked, known.Asked)
+	}
+	valid := got.Valid
+	if valid == 0 {
+		valid = q.Queue.Advice.Valid
+	}
+	for _, id := range q.Targets {
+		next.Asked[id] = true
+		if value, ok := got.Good[id]; ok {
+			next.Good[id] = plan.Ticket{
+				Value: value,
+				Until: sent.Add(costOf(q)).Add(valid),
+			}
+		}
+	}
+	a.steps[q.Step] = next
+}
+
+// clean forgets the steps of jobs that are over.
+func (a *advice) clean() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, known := range a.steps {
+		if !known.Busy && !a.leader.part.ledger.Live(key.Job) {
+			delete(a.steps, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/push/driver.go
@@ -0,0 +1,454 @@
+package push
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+const (
+	// holdSlack is how much later than its wait a renewal may be answered.
+	holdSlack = 500 * time.Millisecond
+	// retryHold is the pause after a renewal that failed.
+	retryHold = 60 * time.Millisecond
+	// idleCheck is how long a target without runs is left alone.
+	idleCheck = 10 * time.Second
+	// stopAgain is after how long an order to stop is sent again.
+	stopAgain = 500 * time.Millisecond
+)
+
+// runKey names a run.
+type runKey struct {
+	task graph.TaskRef
+	run  uint32
+}
+
+// runState is what a driver knows of a run that it has given orders on.
+type runState uint8
+
+const (
+	// runUnknown: an earlier leader placed it.
+	runUnknown runState = iota
+	// runSending: its start is on its way.
+	runSending
+	// runStarted: the target has taken it.
+	runStarted
+	// runDoubtful: its start got no answer, or one after others got none.
+	runDoubtful
+	// runAbsent: it surely never starts.
+	runAbsent
+	// runStopped: the target has answered an order to stop it.
+	runStopped
+)
+
+type runInfo struct {
+	state   runState
+	changed time.Time
+	stopAt  time.Time
+	percent int
+}
+
+// driver keeps one lifetime of a target: its lease, its runs and their ends.
+type driver struct {
+	leader *leader
+	target graph.Target
+	log    *logrus.Entry
+	wake   chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	runs  map[runKey]*runInfo
+	acked uint64
+	// seen is the number of the last end that is in the log.
+	seen uint64
+	// clock was the target's at clockAt or before.
+	clock   Clock
+	clockAt time.Time
+	// leased is when the lease is surely over.
+	leased   time.Time
+	failures int
+	beatAt   time.Time
+	met      bool
+	other    bool
+	pacer    pacer
+}
+
+func newDriver(l *leader, t graph.Target) *driver {
+	ctx, cancel := context.WithCancel(l.ctx)
+	return &driver{
+		leader: l,
+		target: t,
+		log: l.log.WithFields(logrus.Fields{
+			"target": t.ID.ID,
+		}),
+		wake:   make(chan struct{}, 1),
+		ctx:    ctx,
+		cancel: cancel,
+		runs:   map[runKey]*runInfo{},
+		leased: l.longestLease(l.started),
+		beatAt: time.Now(),
+	}
+}
+
+// longestLease returns when a lease granted until the time is surely over.
+func (l *leader) longestLease(granted time.Time) time.Time {
+	return granted.Add(l.stretch(l.part.terms.TTL) + l.part.terms.Margin)
+}
+
+// stretch returns how long d may take by a slow clock.
+func (l *leader) stretch(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*l.part.terms.Drift)
+}
+
+// beat notes a heartbeat.
+func (d *driver) beat(clock Clock) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.beatAt = time.Now()
+	d.learnClock(clock)
+}
+
+// learnClock notes a reading that has just arrived. Readings that the one
+// known lets expect are no news.
+func (d *driver) learnClock(clock Clock) {
+	if clock <= 0 {
+		return
+	}
+	now := time.Now()
+	if clock > d.guess(now) {
+		d.clock, d.clockAt = clock, now
+	}
+}
+
+// guess returns what the target's clock reads at least.
+func (d *driver) guess(now time.Time) Clock {
+	if d.clockAt.IsZero() {
+		return 0
+	}
+	elapsed := now.Sub(d.clockAt)
+	return d.clock + Clock(float64(elapsed)*(1-d.leader.part.terms.Drift))
+}
+
+// lease returns the deadline of an order sent now, and notes until when it
+// may bind the target. It is zero while the target's clock is not known.
+func (d *driver) lease() Clock {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	clock := d.guess(now)
+	if clock == 0 {
+		return 0
+	}
+	// The clock reads at least the guess now, so the deadline has passed
+	// after the TTL by a slow clock.
+	until := d.leader.longestLease(now)
+	if until.After(d.leased) {
+		d.leased = until
+	}
+	return clock + Clock(d.leader.part.terms.TTL)
+}
+
+func (d *driver) usable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.met && !d.other && d.failures == 0 && !d.clockAt.IsZero() &&
+		time.Since(d.beatAt) < d.leader.part.terms.Silent
+}
+
+func (d *driver) poke() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// keep renews the lease while there is something to hold, takes ends, and
+// ends the lifetime when the lease is over without an answer.
+func (d *driver) keep() {
+	for d.ctx.Err() == nil {
+		orders := d.leader.part.ledger.Orders(d.target.ID)
+		if d.idle(orders) {
+			d.rest()
+			continue
+		}
+		if !d.leader.mayOrder() {
+			if !pause(d.ctx, retryHold) {
+				return
+			}
+			continue
+		}
+		err := d.hold()
+		if err == nil {
+			continue
+		}
+		if d.failed(err) {
+			return
+		}
+		if !pause(d.ctx, retryHold) {
+			return
+		}
+	}
+}
+
+// idle tells that the target has no runs, and no ends to be acknowledged.
+func (d *driver) idle(orders []graph.Order) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.met && len(orders) == 0 && d.acked == d.seen && d.failures == 0
+}
+
+func (d *driver) rest() {
+	timer := time.NewTimer(idleCheck)
+	defer timer.Stop()
+	select {
+	case <-d.ctx.Done():
+	case <-d.wake:
+	case <-timer.C:
+	}
+}
+
+// hold renews the lease once, and deals with what the target lists.
+func (d *driver) hold() error {
+	order := d.holdOrder()
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(d.ctx, order.Wait+holdSlack)
+	listing, err := d.leader.part.targets.Hold(ctx, &d.target, order)
+	cancel()
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.learnClock(listing.Clock)
+	first := !d.met
+	d.met = true
+	if d.failures > 0 {
+		d.log.WithField("failures", d.failures).Info("target: answers again")
+	}
+	d.failures = 0
+	d.acked = max(d.acked, order.Acked)
+	d.mu.Unlock()
+	if first {
+		d.leader.poke()
+	}
+	if err := d.takeEnds(listing.Ended); err != nil {
+		return nil
+	}
+	d.reconcile(sent, listing)
+	d.pace(listing)
+	return nil
+}
+
+func (d *driver) holdOrder() Hold {
+	order := Hold{
+		Deadline: d.lease(),
+		Token:    d.leader.token(),
+		Wait:     d.leader.part.terms.Wait,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	order.Acked = d.seen
+	if !d.met || d.failures > 0 || d.doubts() {
+		order.Wait = 0
+	}
+	return order
+}
+
+// doubts tells whether the state of a run is to be found out soon.
+func (d *driver) doubts() bool {
+	for _, info := range d.runs {
+		if info.state == runDoubtful || info.state == runStopped || info.state == runAbsent {
+			return true
+		}
+	}
+	return false
+}
+
+// failed notes a renewal that failed. It tells true when the lifetime is
+// over.
+func (d *driver) failed(err error) bool {
+	if errors.Is(err, ErrFenced) {
+		d.leader.deposed()
+		return true
+	}
+	if d.ctx.Err() != nil {
+		return true
+	}
+	d.mu.Lock()
+	d.failures++
+	failures := d.failures
+	if errors.Is(err, ErrOtherLifetime) {
+		d.other = true
+	}
+	silent := time.Now().After(d.leased)
+	stale := time.Since(d.beatAt) > d.leader.part.terms.Silent
+	other := d.other
+	d.mu.Unlock()
+	if failures == 1 {
+		d.log.WithError(err).Warn("target: no answer")
+		d.leader.poke()
+	}
+	if !silent || !stale && !other && len(d.leader.part.ledger.Orders(d.target.ID)) == 0 {
+		return false
+	}
+	return d.leader.end("lease over", d.target.ID) == nil
+}
+
+// deposed stops all orders: a target has seen a later leader's token.
+func (l *leader) deposed() {
+	if !l.fenced.Swap(true) {
+		l.log.Warn("sched: a target has seen a higher token, no more orders")
+	}
+}
+
+// takeEnds has the ends committed.
+func (d *driver) takeEnds(ended []Ended) error {
+	var ends []graph.End
+	d.mu.Lock()
+	last := d.seen
+	for _, e := range ended {
+		if e.Seq <= d.seen {
+			continue
+		}
+		last = max(last, e.Seq)
+		ends = append(ends, graph.End{
+			Target: d.target.ID,
+			Task:   e.Task,
+			Run:    e.Run,
+			How:    e.How,
+			Saved:  e.Saved,
+		})
+	}
+	d.mu.Unlock()
+	if len(ends) == 0 {
+		return nil
+	}
+	if err := d.commit(ends); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.seen = max(d.seen, last)
+	for _, e := range ends {
+		delete(d.runs, runKey{
+			task: e.Task,
+			run:  e.Run,
+		})
+	}
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *driver) commit(ends []graph.End) error {
+	_, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: ends}})
+	if fault != nil {
+		d.log.WithField("fault", fault.Error()).Warn("target: ends not committed")
+		return fault
+	}
+	for _, e := range ends {
+		d.log.WithFields(logrus.Fields{
+			"job":  e.Task.Job,
+			"task": e.Task.Name(),
+			"run":  e.Run,
+			"how":  e.How.String(),
+		}).Info("target: run ended")
+	}
+	d.leader.poke()
+	return nil
+}
+
+// reconcile compares what the target should hold with what it listed on a
+// request sent at the time.
+func (d *driver) reconcile(sent time.Time, listing Listing) {
+	running := make(map[runKey]bool, len(listing.Running))
+	for _, r := range listing.Running {
+		running[runKey{
+			task: r.Task,
+			run:  r.Run,
+		}] = true
+	}
+	known := map[runKey]bool{}
+	var absent []graph.End
+	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
+		key := runKey{
+			task: order.Task,
+			run:  order.Run,
+		}
+		known[key] = true
+		if d.settle(order, key, running[key], sent) {
+			absent = append(absent, graph.End{
+				Target: d.target.ID,
+				Task:   key.task,
+				Run:    key.run,
+				How:    graph.HowAbsent,
+			})
+		}
+	}
+	for key := range running {
+		if !known[key] {
+			d.stop(key)
+		}
+	}
+	d.forget(known, sent)
+	if len(absent) == 0 {
+		return
+	}
+	if err := d.commit(absent); err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range absent {
+		delete(d.runs, runKey{
+			task: e.Task,
+			run:  e.Run,
+		})
+	}
+}
+
+// settle deals with one run. It tells true for one that is not there and
+// never will be.
+func (d *driver) settle(order graph.Order, key runKey, runs bool, sent time.Time) bool {
+	d.mu.Lock()
+	info := d.runs[key]
+	if info == nil {
+		info = &runInfo{
+			state:   runUnknown,
+			percent: fullPace,
+		}
+		d.runs[key] = info
+	}
+	if runs && info.state != runStopped && info.state != runSending {
+		info.state = runStarted
+	}
+	state, before := info.state, info.changed.Before(sent)
+	d.mu.Unlock()
+	switch {
+	case runs && !order.Wanted:
+		d.stop(key)
+	case runs, state == runSending:
+	case state == runUnknown && order.Wanted:
+		d.start(key.task, key.run, "")
+	case state == runUnknown, state == runDoubtful:
+		d.stop(key)
+	case !before:
+	case state == runStopped, state == runAbsent, state == runStarted:
+		return true
+	}
+	return false
+}
+
+// forget drops what is known of runs that the ledger no longer has here.
+func (d *driver) forget(known map[runKey]bool, sent time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, info := range d.runs {
+		if !known[key] && info.state != runSending && info.changed.Before(sent) && info.stopAt.Before(sent) {
+			delete(d.runs, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/push/leader.go
@@ -0,0 +1,317 @@
+package push
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/plan"
+	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/raft"
+)
+
+const (
+	proposeTimeout = 4 * time.Second
+	// decideGap is the least time between two decisions.
+	decideGap   = 2 * time.Millisecond
+	upkeepEvery = 100 * time.Millisecond
+)
+
+// Terms are the times of the leases that targets get.
+type Terms struct {
+	// TTL is how far ahead of its clock a target's lease is set.
+	TTL time.Duration
+	// Drift is by how much of a lease a target's clock may be slow.
+	Drift float64
+	// Margin is added to every wait for the end of a lease.
+	Margin time.Duration
+	// Wait is how long a renewal waits at the target for an end.
+	Wait time.Duration
+	// Call bounds a start, a stop and a pace.
+	Call time.Duration
+	// Silent is how old a target's last heartbeat may be for new work.
+	Silent time.Duration
+	// Keep is how long ended jobs are known.
+	Keep time.Duration
+}
+
+// DefaultTerms returns the times that a leader starts with.
+func DefaultTerms() Terms {
+	return Terms{
+		TTL:    4500 * time.Millisecond,
+		Drift:  0.03,
+		Margin: 400 * time.Millisecond,
+		Wait:   1200 * time.Millisecond,
+		Call:   400 * time.Millisecond,
+		Silent: 4 * time.Second,
+		Keep:   180 * time.Second,
+	}
+}
+
+// leader decides and sends orders, from one term's start to its end.
+type leader struct {
+	part    *Part
+	log     *logrus.Entry
+	term    uint64
+	started time.Time
+	wake    chan struct{}
+	advice  *advice
+
+	mu      sync.Mutex
+	drivers map[graph.TargetID]*driver
+	// newest is the newest lifetime known of an id, over tells of those that
+	// have ended.
+	newest map[string]int64
+	over   map[graph.TargetID]bool
+
+	fenced atomic.Bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newLeader(p *Part, term uint64) *leader {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &leader{
+		part:    p,
+		log:     p.log.WithField("term", term),
+		term:    term,
+		started: time.Now(),
+		wake:    make(chan struct{}, 1),
+		drivers: map[graph.TargetID]*driver{},
+		newest:  map[string]int64{},
+		over:    map[graph.TargetID]bool{},
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	l.advice = newAdvice(l)
+	return l
+}
+
+// start takes over the targets that the ledger knows.
+func (l *leader) start() {
+	for _, t := range l.part.ledger.Targets() {
+		l.newest[t.ID.ID] = max(l.newest[t.ID.ID], t.ID.Born)
+		l.drive(t)
+	}
+	l.goRun(l.decideAll)
+	l.goRun(l.upkeep)
+}
+
+func (l *leader) goRun(run func()) {
+	l.done.Add(1)
+	go func() {
+		defer l.done.Done()
+		run()
+	}()
+}
+
+func (l *leader) stop() {
+	l.cancel()
+	l.done.Wait()
+}
+
+// token returns the fencing token of every order of this term.
+func (l *leader) token() uint64 {
+	return l.term
+}
+
+// mayOrder tells whether this instance surely leads alone now.
+func (l *leader) mayOrder() bool {
+	return !l.fenced.Load() && l.part.host.Replica().LeaseLive()
+}
+
+// poke has the leader decide soon.
+func (l *leader) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// propose commits a command under the leader's clock.
+func (l *leader) propose(ctx context.Context, c graph.Command) (graph.Result, *wire.Fault) {
+	c.Time = graph.Millis(time.Now().UnixMilli())
+	data, err := c.Encode()
+	if err != nil {
+		return graph.Result{}, wire.Newf(wire.CodeInternal, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	value, err := l.part.host.Replica().Propose(ctx, data)
+	switch {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeaderChanging):
+		return graph.Result{}, wire.Newf(wire.CodeNotLeader, "")
+	case errors.Is(err, raft.ErrBusy):
+		return graph.Result{}, wire.Newf(wire.CodeUnavailable, err.Error())
+	case err != nil:
+		return graph.Result{}, wire.Newf(wire.CodeUncertain, err.Error())
+	}
+	result, ok := value.(graph.Result)
+	if !ok {
+		return graph.Result{}, wire.Newf(wire.CodeInternal, "command was not understood")
+	}
+	return result, nil
+}
+
+// decideAll decides again and again, as things change.
+func (l *leader) decideAll() {
+	ticker := time.NewTicker(upkeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+		if l.mayOrder() {
+			l.decide()
+		}
+		if !pause(l.ctx, decideGap) {
+			return
+		}
+	}
+}
+
+// decide makes one decision, commits it and sends its orders.
+func (l *leader) decide() {
+	var d plan.Decision
+	now := time.Now()
+	l.part.ledger.View(now, func(v *graph.View) {
+		d = plan.Decide(plan.Input{
+			View:   v,
+			Now:    now,
+			Advice: l.advice.of,
+			Usable: l.usable,
+			Speed:  l.speed,
+		})
+	})
+	for _, q := range d.Questions {
+		l.advice.ask(q)
+	}
+	if len(d.Groups) == 0 {
+		return
+	}
+	result, fault := l.propose(l.ctx, graph.Command{Place: &graph.Place{Groups: d.Groups}})
+	if fault != nil {
+		l.log.WithField("fault", fault.Error()).Warn("sched: placements not committed")
+		return
+	}
+	for i, group := range d.Groups {
+		if refusal := result.Groups[i]; refusal != "" {
+			l.log.WithFields(logrus.Fields{
+				"job":     group[0].Task.Job,
+				"refusal": refusal,
+			}).Warn("sched: placement refused")
+			continue
+		}
+		for _, spot := range group {
+			l.send(spot, d.Tickets[spot.Task])
+		}
+	}
+}
+
+// send has the target's driver order the start.
+func (l *leader) send(spot graph.Spot, ticket string) {
+	l.mu.Lock()
+	d := l.drivers[spot.Target]
+	l.mu.Unlock()
+	if d == nil {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"job":    spot.Task.Job,
+		"task":   spot.Task.Name(),
+		"run":    spot.Run,
+		"target": spot.Target.ID,
+	}).Info("sched: placed")
+	d.start(spot.Task, spot.Run, ticket)
+}
+
+func (l *leader) usable(id graph.TargetID) bool {
+	l.mu.Lock()
+	d := l.drivers[id]
+	l.mu.Unlock()
+	return d != nil && d.usable()
+}
+
+func (l *leader) speed(graph.TargetID) float64 {
+	return 1
+}
+
+// drive starts a driver for the target, unless there is one.
+func (l *leader) drive(t graph.Target) *driver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.drivers[t.ID]
+	if d == nil && l.ctx.Err() == nil {
+		d = newDriver(l, t)
+		l.drivers[t.ID] = d
+		l.goRun(d.keep)
+	}
+	return d
+}
+
+// drop forgets the driver of an ended lifetime.
+func (l *leader) drop(id graph.TargetID) {
+	l.mu.Lock()
+	d := l.drivers[id]
+	delete(l.drivers, id)
+	l.mu.Unlock()
+	if d != nil {
+		d.cancel()
+		l.part.targets.Forget(&d.target)
+	}
+	l.poke()
+}
+
+// end commits that the lifetimes run nothing any more.
+func (l *leader) end(why string, ids ...graph.TargetID) *wire.Fault {
+	for _, id := range ids {
+		l.log.WithFields(logrus.Fields{
+			"target": id.ID,
+			"born":   id.Born,
+			"why":    why,
+		}).Info("target: lifetime over")
+	}
+	if _, fault := l.propose(l.ctx, graph.Command{Gone: &graph.Gone{Targets: ids}}); fault != nil {
+		return fault
+	}
+	for _, id := range ids {
+		l.drop(id)
+	}
+	return nil
+}
+
+// upkeep forgets old jobs and advice.
+func (l *leader) upkeep() {
+	every := 5 * time.Second
+	for pause(l.ctx, every) {
+		l.advice.clean()
+		before := graph.Millis(time.Now().Add(-l.part.terms.Keep).UnixMilli())
+		if l.part.ledger.Ended(before) < 100 {
+			continue
+		}
+		if _, fault := l.propose(l.ctx, graph.Command{Prune: &graph.Prune{Before: before}}); fault != nil {
+			l.log.WithField("fault", fault.Error()).Warn("sched: prune not committed")
+		}
+	}
+}
+
+// pause waits, and tells false when the context ended first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/push/orders.go
@@ -0,0 +1,193 @@
+package push
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+const (
+	// startTries is how often a start without an answer is sent.
+	startTries = 3
+	fullPace   = 100
+)
+
+// start orders a run to start, on a goroutine of its own.
+func (d *driver) start(task graph.TaskRef, run uint32, ticket string) {
+	key := runKey{
+		task: task,
+		run:  run,
+	}
+	d.mark(key, runSending)
+	d.poke()
+	d.leader.goRun(func() {
+		state := d.sendStart(key, ticket)
+		d.mark(key, state)
+		d.poke()
+		if state == runAbsent {
+			d.absent(key)
+		}
+	})
+}
+
+// absent reports a run that surely never starts.
+func (d *driver) absent(key runKey) {
+	err := d.commit([]graph.End{{
+		Target: d.target.ID,
+		Task:   key.task,
+		Run:    key.run,
+		How:    graph.HowAbsent,
+	}})
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.runs, key)
+}
+
+func (d *driver) mark(key runKey, state runState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.runs[key]
+	if info == nil {
+		info = &runInfo{percent: fullPace}
+		d.runs[key] = info
+	}
+	info.state = state
+	info.changed = time.Now()
+}
+
+// sendStart sends the order until it is answered, and returns what is then
+// known of the run.
+func (d *driver) sendStart(key runKey, ticket string) runState {
+	unanswered := false
+	for range startTries {
+		order := d.leader.part.ledger.OrderOf(d.target.ID, key.task, key.run)
+		if !order.Wanted {
+			break
+		}
+		deadline := d.lease()
+		if deadline == 0 || !d.leader.mayOrder() {
+			if !pause(d.ctx, retryHold) {
+				break
+			}
+			continue
+		}
+		ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
+		clock, err := d.leader.part.targets.Start(ctx, &d.target, Start{
+			Task:     key.task,
+			Run:      key.run,
+			Payload:  order.Payload,
+			Saved:    order.Saved,
+			Ticket:   ticket,
+			Deadline: deadline,
+			Token:    d.leader.token(),
+		})
+		cancel()
+		d.note(clock, err)
+		if err == nil {
+			return runStarted
+		}
+		d.log.WithError(err).WithFields(logrus.Fields{
+			"job":  key.task.Job,
+			"task": key.task.Name(),
+			"run":  key.run,
+		}).Warn("target: start not taken")
+		switch {
+		case errors.Is(err, ErrFenced):
+			d.leader.deposed()
+			return runDoubtful
+		case errors.Is(err, ErrRefused) && !unanswered:
+			return runAbsent
+		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherLifetime):
+			return runDoubtful
+		}
+		unanswered = true
+	}
+	if unanswered {
+		return runDoubtful
+	}
+	return d.unsent(key)
+}
+
+// unsent returns what is known of a run whose start was not sent by this
+// leader: one placed in this term is surely absent.
+func (d *driver) unsent(runKey) runState {
+	return runDoubtful
+}
+
+// note takes the clock of an answer, or counts that there was none.
+func (d *driver) note(clock Clock, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil || errors.Is(err, ErrRefused) {
+		d.learnClock(clock)
+		return
+	}
+	if errors.Is(err, ErrUnanswered) && d.ctx.Err() == nil {
+		d.failures++
+	}
+}
+
+// stop orders a run to stop, unless that was ordered just before.
+func (d *driver) stop(key runKey) {
+	d.mu.Lock()
+	info := d.runs[key]
+	if info == nil {
+		info = &runInfo{percent: fullPace}
+		d.runs[key] = info
+	}
+	now := time.Now()
+	if now.Sub(info.stopAt) < stopAgain {
+		d.mu.Unlock()
+		return
+	}
+	info.stopAt = now
+	d.mu.Unlock()
+	d.leader.goRun(func() { d.sendStop(key) })
+}
+
+func (d *driver) sendStop(key runKey) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
+	defer cancel()
+	if !d.leader.mayOrder() {
+		return
+	}
+	clock, err := d.leader.part.targets.Stop(ctx, &d.target, key.task, key.run, d.leader.token())
+	d.note(clock, err)
+	if errors.Is(err, ErrFenced) {
+		d.leader.deposed()
+		return
+	}
+	if err != nil {
+		d.log.WithError(err).WithField("task", key.task.Name()).Warn("target: stop not taken")
+		return
+	}
+	d.mark(key, runStopped)
+	d.poke()
+}
+
+// stopUnwanted stops the runs that should not go on.
+func (l *leader) stopUnwanted() {
+	l.mu.Lock()
+	drivers := make([]*driver, 0, len(l.drivers))
+	for _, d := range l.drivers {
+		drivers = append(drivers, d)
+	}
+	l.mu.Unlock()
+	for _, d := range drivers {
+		for _, order := range l.part.ledger.Orders(d.target.ID) {
+			if !order.Wanted {
+				d.stop(runKey{
+					task: order.Task,
+					run:  order.Run,
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/push/part.go
@@ -0,0 +1,127 @@
+package push
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/group"
+	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/raft"
+)
+
+// Part is one instance's part in scheduling: the ledger that the log is
+// applied to, and the leader's work while it leads. It is also the way by
+// which other parts of the process reach the leader.
+type Part struct {
+	host    *group.Host
+	ledger  *graph.Ledger
+	targets Targets
+	advisor Advisor
+	terms   Terms
+	log     *logrus.Logger
+	lead    atomic.Pointer[leader]
+}
+
+var _ raft.StateMachine = (*Part)(nil)
+
+// NewPart returns a part that calls targets and the advisor through the
+// ports given.
+func NewPart(cfg group.Config, terms Terms, targets Targets, advisor Advisor, log *logrus.Logger) (*Part, error) {
+	p := &Part{
+		ledger:  graph.NewLedger(),
+		targets: targets,
+		advisor: advisor,
+		terms:   terms,
+		log:     log,
+	}
+	host, err := group.NewHost(cfg, p, log)
+	if err != nil {
+		return nil, err
+	}
+	p.host = host
+	if err := host.Server().Concurrent(service, &calls{part: p}); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Host returns the group's host.
+func (p *Part) Host() *group.Host {
+	return p.host
+}
+
+// Run starts the part.
+func (p *Part) Run() error {
+	return p.host.Run()
+}
+
+// Stop ends the part.
+func (p *Part) Stop() {
+	if l := p.lead.Load(); l != nil {
+		l.cancel()
+	}
+	p.host.Stop()
+}
+
+// Apply applies a command. One that can't be decoded changes nothing, on
+// every replica alike.
+func (p *Part) Apply(_ uint64, data []byte) any {
+	command, err := graph.DecodeCommand(data)
+	if err != nil {
+		p.log.WithError(err).Error("sched: passed over a command")
+		return err
+	}
+	result := p.ledger.Apply(command)
+	if command.Config != nil {
+		p.log.WithField("version", command.Config.Version).Info("config: in the log")
+	}
+	return result
+}
+
+// Capture returns a function that returns the encoded state.
+func (p *Part) Capture() func() ([]byte, error) {
+	return p.ledger.Capture()
+}
+
+// Restore replaces the state.
+func (p *Part) Restore(state []byte) error {
+	return p.ledger.Restore(state)
+}
+
+// Leading starts the leader's work.
+func (p *Part) Leading(term uint64) {
+	p.log.WithField("term", term).Info("sched: leading")
+	l := newLeader(p, term)
+	p.lead.Store(l)
+	l.start()
+}
+
+// Following stops the leader's work.
+func (p *Part) Following() {
+	p.log.Info("sched: no longer leading")
+	if l := p.lead.Swap(nil); l != nil {
+		l.stop()
+	}
+}
+
+// leading returns the leader's work when all that it knows is sure to be the
+// newest.
+func (p *Part) leading(ctx context.Context) (*leader, *wire.Fault) {
+	l := p.lead.Load()
+	if l == nil {
+		return nil, wire.Newf(wire.CodeNotLeader, "")
+	}
+	if err := p.host.Replica().Read(ctx); err != nil {
+		return nil, wire.Newf(wire.CodeUnavailable, err.Error())
+	}
+	return l, nil
+}
+
+// Ready tells whether calls can be served.
+func (p *Part) Ready(within time.Duration) bool {
+	return p.host.Reachable(within)
+}
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -174,7 +174,16 @@
 
 // Bootstrap returns the synced state of the first replica of a new group.
 func Bootstrap(first Member) Restored {
-	first.Voter = true
+	return BootstrapGroup(Membership{Members: []Member{first}})
+}
+
+// BootstrapGroup returns the synced state of every replica of a new group
+// whose first members all know each other. All of them must be given the same
+// membership.
+func BootstrapGroup(members Membership) Restored {
+	for i := range members.Members {
+		members.Members[i].Voter = true
+	}
 	return Restored{
 		Hard: HardState{
 			Term:   1,
@@ -183,7 +192,7 @@
 		Snapshot: SnapshotMeta{
 			Index:      1,
 			Term:       1,
-			Membership: Membership{Members: []Member{first}},
+			Membership: members,
 		},
 	}
 }
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -59,7 +59,7 @@
 	storage   Storage
 	transport Transport
 	machine   StateMachine
-	started   time.Time
+	now       func() time.Duration
 	snapEvery uint64
 	trailing  uint64
 
@@ -116,6 +116,19 @@
 	return func(r *Replica) { r.snapEvery = entries }
 }
 
+// WithClock sets the clock that leases and elections run by. It must never
+// step back, and must count the time during which the machine is suspended:
+// a leader that wakes up must find its lease over.
+func WithClock(now func() time.Duration) ReplicaOption {
+	return func(r *Replica) { r.now = now }
+}
+
+// sinceNow returns a clock that starts at zero.
+func sinceNow() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
+
 // WithTrailing sets how many entries stay in memory behind a snapshot.
 func WithTrailing(entries uint64) ReplicaOption {
 	return func(r *Replica) { r.trailing = entries }
@@ -141,7 +154,7 @@
 		storage:   storage,
 		transport: transport,
 		machine:   machine,
-		started:   time.Now(),
+		now:       sinceNow(),
 		snapEvery: defaultSnapshot,
 		trailing:  defaultTrailing,
 		wake:      make(chan struct{}, 1),
@@ -191,7 +204,7 @@
 }
 
 func (r *Replica) clock() time.Duration {
-	return time.Since(r.started)
+	return r.now()
 }
 
 // Receive takes messages from the transport. It never waits; messages above
