Send each start once: tell runs just placed from those of an earlier leader

Cause: between the commit of a placement and its order, a renewal's answer found the run in the ledger but not at the target, took it for an earlier leader's and sent a second start without the ticket; its refusal freed the room of a run that the first start had begun. Ruled out: the transport repeating calls (each order was logged once).

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -18,6 +18,11 @@
 	retryHold = 60 * time.Millisecond
 	// idleCheck is how long a target without runs is left alone.
 	idleCheck = 10 * time.Second
+	// placedFor is how long a run may be in the log before its start is
+	// sent. One whose commit was in doubt is never sent otherwise.
+	placedFor = time.Second
+	// listedEnds is how many ends a target lists at most in one answer.
+	listedEnds = 500
 	// stopAgain is after how long an order to stop is sent again.
 	stopAgain = 500 * time.Millisecond
 )
@@ -34,6 +39,8 @@
 const (
 	// runUnknown: an earlier leader placed it.
 	runUnknown runState = iota
+	// runPlaced: it is in the log, and its start is about to be sent.
+	runPlaced
 	// runSending: its start is on its way.
 	runSending
 	// runStarted: the target has taken it.
@@ -76,12 +83,14 @@
 	beatAt   time.Time
 	met      bool
 	other    bool
-	pacer    pacer
+	// inherited are the runs that an earlier leader placed.
+	inherited map[runKey]bool
+	pacer     pacer
 }
 
 func newDriver(l *leader, t graph.Target) *driver {
 	ctx, cancel := context.WithCancel(l.ctx)
-	return &driver{
+	d := &driver{
 		leader: l,
 		target: t,
 		log: l.log.WithFields(logrus.Fields{
@@ -93,6 +102,19 @@
 		runs:   map[runKey]*runInfo{},
 		leased: l.longestLease(l.started),
 		beatAt: time.Now(),
+
+		inherited: map[runKey]bool{},
+	}
+	return d
+}
+
+// inherit notes the runs that the target may hold as an earlier leader's.
+func (d *driver) inherit() {
+	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
+		d.inherited[runKey{
+			task: order.Task,
+			run:  order.Run,
+		}] = true
 	}
 }
 
@@ -239,7 +261,9 @@
 	if err := d.takeEnds(listing.Ended); err != nil {
 		return nil
 	}
-	d.reconcile(sent, listing)
+	if len(listing.Ended) < listedEnds {
+		d.reconcile(sent, listing)
+	}
 	d.pace(listing)
 	return nil
 }
@@ -414,34 +438,47 @@
 // never will be.
 func (d *driver) settle(order graph.Order, key runKey, runs bool, sent time.Time) bool {
 	d.mu.Lock()
-	info := d.runs[key]
-	if info == nil {
-		info = &runInfo{
-			state:   runUnknown,
-			percent: fullPace,
-		}
-		d.runs[key] = info
-	}
+	info := d.known(key)
 	if runs && info.state != runStopped && info.state != runSending {
 		info.state = runStarted
 	}
-	state, before := info.state, info.changed.Before(sent)
+	state, since := info.state, sent.Sub(info.changed)
 	d.mu.Unlock()
 	switch {
 	case runs && !order.Wanted:
 		d.stop(key)
-	case runs, state == runSending:
-	case state == runUnknown && order.Wanted:
+	case runs, state == runSending, state == runPlaced && since < placedFor:
+	case state == runUnknown && order.Wanted, state == runPlaced && order.Wanted:
 		d.start(key.task, key.run, "")
-	case state == runUnknown, state == runDoubtful:
+	case state == runUnknown, state == runDoubtful, state == runPlaced:
 		d.stop(key)
-	case !before:
-	case state == runStopped, state == runAbsent, state == runStarted:
-		return true
+	case state == runAbsent:
+		return since > 0
+	case state == runStopped, state == runStarted:
+		// A run that is being stopped is listed again once it has ended.
+		return since > d.leader.part.terms.Settle
 	}
 	return false
 }
 
+// known returns what is known of the run. The lock must be held.
+func (d *driver) known(key runKey) *runInfo {
+	info := d.runs[key]
+	if info != nil {
+		return info
+	}
+	info = &runInfo{
+		state:   runPlaced,
+		changed: time.Now(),
+		percent: fullPace,
+	}
+	if d.inherited[key] {
+		info.state = runUnknown
+	}
+	d.runs[key] = info
+	return info
+}
+
 // forget drops what is known of runs that the ledger no longer has here.
 func (d *driver) forget(known map[runKey]bool, sent time.Time) {
 	d.mu.Lock()
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -36,6 +36,9 @@
 	Call time.Duration
 	// Silent is how old a target's last heartbeat may be for new work.
 	Silent time.Duration
+	// Settle is how long after an order a run that ends by it may be in
+	// neither list of the target.
+	Settle time.Duration
 	// Keep is how long ended jobs are known.
 	Keep time.Duration
 }
@@ -49,6 +52,7 @@
 		Wait:   1200 * time.Millisecond,
 		Call:   400 * time.Millisecond,
 		Silent: 4 * time.Second,
+		Settle: 1500 * time.Millisecond,
 		Keep:   180 * time.Second,
 	}
 }
@@ -252,6 +256,7 @@
 	d := l.drivers[t.ID]
 	if d == nil && l.ctx.Err() == nil {
 		d = newDriver(l, t)
+		d.inherit()
 		l.drivers[t.ID] = d
 		l.goRun(d.keep)
 	}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -22,7 +22,9 @@
 		task: task,
 		run:  run,
 	}
-	d.mark(key, runSending)
+	if !d.claim(key) {
+		return
+	}
 	d.poke()
 	d.leader.goRun(func() {
 		state := d.sendStart(key, ticket)
@@ -34,6 +36,20 @@
 	})
 }
 
+// claim notes that the run's start is being sent. It tells false when that is
+// so already.
+func (d *driver) claim(key runKey) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.known(key)
+	if info.state != runUnknown && info.state != runPlaced {
+		return false
+	}
+	info.state = runSending
+	info.changed = time.Now()
+	return true
+}
+
 // absent reports a run that surely never starts.
 func (d *driver) absent(key runKey) {
 	err := d.commit([]graph.End{{
@@ -53,11 +69,7 @@
 func (d *driver) mark(key runKey, state runState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	info := d.runs[key]
-	if info == nil {
-		info = &runInfo{percent: fullPace}
-		d.runs[key] = info
-	}
+	info := d.known(key)
 	info.state = state
 	info.changed = time.Now()
 }
@@ -109,15 +121,6 @@
 		}
 		unanswered = true
 	}
-	if unanswered {
-		return runDoubtful
-	}
-	return d.unsent(key)
-}
-
-// unsent returns what is known of a run whose start was not sent by this
-// leader: one placed in this term is surely absent.
-func (d *driver) unsent(runKey) runState {
 	return runDoubtful
 }
 
@@ -137,11 +140,7 @@
 // stop orders a run to stop, unless that was ordered just before.
 func (d *driver) stop(key runKey) {
 	d.mu.Lock()
-	info := d.runs[key]
-	if info == nil {
-		info = &runInfo{percent: fullPace}
-		d.runs[key] = info
-	}
+	info := d.known(key)
 	now := time.Now()
 	if now.Sub(info.stopAt) < stopAgain {
 		d.mu.Unlock()
