Let the lease of a silent target come to its end

Ruled out: placement (the task never became waiting), the ledger. Change: while a target does not answer, renewals ask without a deadline.

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -270,16 +270,21 @@
 
 func (d *driver) holdOrder() Hold {
 	order := Hold{
-		Deadline: d.lease(),
-		Token:    d.leader.token(),
-		Wait:     d.leader.part.terms.Wait,
+		Token: d.leader.token(),
+		Wait:  d.leader.part.terms.Wait,
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	order.Acked = d.seen
-	if !d.met || d.failures > 0 || d.doubts() {
+	silent := d.failures > 0
+	if !d.met || silent || d.doubts() {
 		order.Wait = 0
 	}
+	d.mu.Unlock()
+	// Each renewal that may arrive puts the end of the lease off, so a target
+	// that does not answer is only asked: its lease must come to an end.
+	if !silent {
+		order.Deadline = d.lease()
+	}
 	return order
 }
 
