Keep short calls for advice apart from long ones, and ask about as many targets as are needed

Cause: the advisor serves one call at a time of each instance. Change: a quarter of the instances take short calls only; long ones wait in the planner, most urgent first, once all others are busy for 0.9 s; a call names as many targets as the learned part of good ones makes likely to do.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -14,8 +14,11 @@
 const (
 	// maxSpots bounds the tasks placed by one decision.
 	maxSpots = 400
-	// askAbout is how many targets one call for advice names at most.
-	askAbout = 30
+	// A call for advice names at least leastAsked and at most mostAsked
+	// targets, and so many that spareRoom times the tasks should find room.
+	leastAsked = 4
+	mostAsked  = 40
+	spareRoom  = 2.0
 	// ticketSlack is how long a ticket must still last for a start.
 	ticketSlack = 300 * time.Millisecond
 )
@@ -49,6 +52,8 @@
 	Now  time.Time
 	// Advice returns what is known of a step, or nil.
 	Advice func(StepKey) *Advised
+	// Share is the part of targets that is likely to be good for the queue.
+	Share func(queue string) float64
 	// Usable tells whether the target answers.
 	Usable func(graph.TargetID) bool
 	// Speed is how fast the target works; 1 is usual.
@@ -319,14 +324,20 @@
 	}
 }
 
+// allowed tells whether the tenant's limit has place for one more task.
+func (p *planner) allowed(r *round) bool {
+	usage, tenant := p.in.View.Tenant(r.job.Tenant)
+	if tenant == nil {
+		return true
+	}
+	sum := usage.Add(p.used[r.job.Tenant]).Add(r.step.Room)
+	return graph.Within(sum, tenant.Limit)
+}
+
 // choose returns the target for a task, or nil.
 func (p *planner) choose(r *round, ref graph.TaskRef, advised *Advised) *slot {
-	usage, tenant := p.in.View.Tenant(r.job.Tenant)
-	if tenant != nil {
-		sum := usage.Add(p.used[r.job.Tenant]).Add(r.step.Room)
-		if !graph.Within(sum, tenant.Limit) {
-			return nil
-		}
+	if !p.allowed(r) {
+		return nil
 	}
 	var best *slot
 	bestScore := 0.0
@@ -391,8 +402,8 @@
 			waiting++
 		}
 	}
-	if room < waiting && (advised == nil || !advised.Busy) {
-		p.ask(r, advised)
+	if room < waiting && (advised == nil || !advised.Busy) && p.allowed(r) {
+		p.ask(r, advised, waiting-room)
 	}
 	return room > 0
 }
@@ -412,7 +423,7 @@
 
 // ask names the targets with the most room: first those known to be good,
 // whose tickets have run out, then those not asked about yet.
-func (p *planner) ask(r *round, advised *Advised) {
+func (p *planner) ask(r *round, advised *Advised, missing int) {
 	type option struct {
 		id     string
 		known  bool
@@ -448,8 +459,18 @@
 		Step:  r.key,
 		Queue: *r.queue,
 	}
-	for _, o := range options[:min(askAbout, len(options))] {
+	wanted := spareRoom * float64(missing)
+	share := p.in.Share(r.queue.Name)
+	for _, o := range options {
+		if len(q.Targets) >= mostAsked || wanted <= 0 && len(q.Targets) >= leastAsked {
+			break
+		}
 		q.Targets = append(q.Targets, o.id)
+		part := share
+		if o.known {
+			part = 1
+		}
+		wanted -= part * float64(o.copies)
 	}
 	if len(q.Targets) > 0 {
 		p.out.Questions = append(p.out.Questions, q)
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sort"
 	"sync"
 	"time"
 
@@ -19,6 +20,20 @@
 	// nodeWithin is how lately an instance must have been heard from to be
 	// asked to call the advisor.
 	nodeWithin = 1500 * time.Millisecond
+	// shortCall is what a call costs at most to be short. Short calls have
+	// every laneParts-th instance for themselves, so that they need not wait
+	// behind long ones.
+	shortCall = 150 * time.Millisecond
+	laneParts = 4
+	// maxBacklog is how far ahead the time of an instance is given away. What
+	// does not fit waits for the next decision, which takes the most urgent
+	// step first.
+	maxBacklog = 900 * time.Millisecond
+	// firstShare is taken for the part of good targets before any answer.
+	firstShare = 0.4
+	leastShare = 0.05
+	// shareWeight is the weight of the newest answer in that part.
+	shareWeight = 0.1
 	// nodeRest is how long an instance that failed to call is left alone.
 	nodeRest = 2 * time.Second
 )
@@ -31,6 +46,8 @@
 	mu    sync.Mutex
 	steps map[plan.StepKey]*plan.Advised
 	nodes map[string]*adviceNode
+	// good is the part of targets that was good, by queue.
+	good map[string]float64
 }
 
 // adviceNode is an instance that calls the advisor.
@@ -46,9 +63,21 @@
 		leader: l,
 		steps:  map[plan.StepKey]*plan.Advised{},
 		nodes:  map[string]*adviceNode{},
+		good:   map[string]float64{},
 	}
 }
 
+// share returns which part of the targets is likely to be good for a step of
+// the queue.
+func (a *advice) share(queue string) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if part, ok := a.good[queue]; ok {
+		return max(part, leastShare)
+	}
+	return firstShare
+}
+
 // of returns what is known of the step, or nil. It is never changed.
 func (a *advice) of(key plan.StepKey) *plan.Advised {
 	a.mu.Lock()
@@ -64,13 +93,17 @@
 		a.mu.Unlock()
 		return
 	}
+	address, wait := a.pick(costOf(q))
+	if address == "" {
+		a.mu.Unlock()
+		return
+	}
 	next := &plan.Advised{Busy: true}
 	if known != nil {
 		next.Good = known.Good
 		next.Asked = known.Asked
 	}
 	a.steps[q.Step] = next
-	address, wait := a.pick(costOf(q))
 	a.mu.Unlock()
 	a.leader.goRun(func() { a.call(q, address, wait) })
 }
@@ -80,11 +113,13 @@
 }
 
 // pick returns the instance that is through with its calls first, and how
-// long a call to it should take.
+// long a call to it should take. It returns "" when all are busy for long.
 func (a *advice) pick(cost time.Duration) (string, time.Duration) {
 	now := time.Now()
+	addresses := a.leader.part.host.Nodes(nodeWithin)
+	sort.Strings(addresses)
 	best := ""
-	for _, address := range a.leader.part.host.Nodes(nodeWithin) {
+	for i, address := range addresses {
 		node := a.nodes[address]
 		if node == nil {
 			node = &adviceNode{}
@@ -93,15 +128,16 @@
 		if node.until.Before(now) {
 			node.until = now
 		}
-		if node.rest.After(now) {
+		reserved := i%laneParts == 0 && len(addresses) > 1
+		if node.rest.After(now) || reserved && cost > shortCall {
 			continue
 		}
 		if best == "" || node.until.Before(a.nodes[best].until) {
 			best = address
 		}
 	}
-	if best == "" {
-		best = a.leader.part.host.Address()
+	if best == "" || a.nodes[best].until.Sub(now) > maxBacklog {
+		return "", 0
 	}
 	node := a.nodes[best]
 	node.until = node.until.Add(cost)
@@ -199,6 +235,16 @@
 		}
 	}
 	a.steps[q.Step] = next
+	a.learn(q, got)
+}
+
+// learn updates the part of good targets.
+func (a *advice) learn(q plan.Question, got Advice) {
+	part := float64(len(got.Good)) / float64(len(q.Targets))
+	if old, ok := a.good[q.Queue.Name]; ok {
+		part = old + shareWeight*(part-old)
+	}
+	a.good[q.Queue.Name] = part
 }
 
 // clean forgets the steps of jobs that are over.
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -192,6 +192,7 @@
 			View:   v,
 			Now:    now,
 			Advice: l.advice.of,
+			Share:  l.advice.share,
 			Usable: l.usable,
 			Speed:  l.speed,
 		})
