--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -392,7 +392,7 @@
 		for id, ticket := range advised.Good {
 			s := p.byID[id]
 			if s != nil && ticket.Until.Sub(p.in.Now) >= ticketSlack {
-				room += copies(r.step, s)
+				room += p.copies(r, s)
 			}
 		}
 	}
@@ -408,15 +408,21 @@
 	return room > 0
 }
 
-// copies returns how many tasks of the step the target has room for.
-func copies(step *graph.Step, s *slot) int {
+// copies returns how many more tasks of the round the target may take.
+func (p *planner) copies(r *round, s *slot) int {
+	most := r.step.Count
+	if r.step.Spread > 0 {
+		ref := graph.TaskRef{
+			Job:        r.key.Job,
+			Occurrence: r.key.Occurrence,
+			Step:       r.key.Step,
+		}
+		most = r.step.Spread - s.target.CountOf(ref) - s.placed[r.key]
+	}
 	n := 0
-	takes := step.Takes()
-	for left := s.free; takes.Fits(left) && n < step.Count; left = left.Sub(takes) {
+	takes := r.step.Takes()
+	for left := s.free; n < most && takes.Fits(left); left = left.Sub(takes) {
 		n++
-		if step.Spread > 0 && n >= step.Spread {
-			break
-		}
 	}
 	return n
 }
@@ -432,7 +438,7 @@
 	var options []option
 	for _, s := range p.targets[p.in.View.ServiceOf(r.job)] {
 		id := s.target.ID.ID
-		n := copies(r.step, s)
+		n := p.copies(r, s)
 		if n == 0 || !s.target.Has(r.step.Label) {
 			continue
 		}
