--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -18,10 +18,19 @@
 	if refusal := l.checkGang(spots); refusal != "" {
 		return refusal
 	}
+	job := l.live[spots[0].Task.Job]
+	begun := job.Begun
+	before := make([]uint32, 0, len(spots))
 	for i, spot := range spots {
+		before = append(before, job.task(spot.Task).Run)
 		if refusal := l.take(spot); refusal != "" {
-			for _, taken := range spots[:i] {
-				l.giveBack(taken)
+			for k, taken := range spots[:i] {
+				l.giveBack(taken, before[k])
+			}
+			if !begun && job.Begun {
+				job.Begun = false
+				job.State = StateQueued
+				l.pending[job.Queue]++
 			}
 			return refusal
 		}
@@ -39,6 +48,11 @@
 	if job == nil || job.task(first.Task) == nil {
 		return RefusedNoJob
 	}
+	for _, spot := range spots {
+		if spot.Task.Job != first.Task.Job || job.task(spot.Task) == nil {
+			return RefusedNoJob
+		}
+	}
 	if !job.Spec.Steps[first.Task.Step].Gang {
 		return ""
 	}
@@ -167,12 +181,13 @@
 	l.usage[job.Tenant] = l.usage[job.Tenant].Add(full)
 }
 
-// giveBack undoes hold.
-func (l *Ledger) giveBack(spot Spot) {
+// giveBack undoes hold for a task whose newest run was the one given.
+func (l *Ledger) giveBack(spot Spot, run uint32) {
 	l.release(spot.Target, spot.Task, spot.Run)
 	job := l.live[spot.Task.Job]
 	task := job.task(spot.Task)
 	task.Held--
+	task.Run = run
 	l.requeue(job, spot.Task, task)
 }
 
