--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -30,7 +30,7 @@
 // Hello tells who the instance is and what it knows of the group.
 func (c *calls) Hello(args *wire.HelloArgs, reply *wire.Reply[wire.Hello]) error {
 	h := c.host
-	h.heard(args.Name)
+	h.Heard(args.Name)
 	reply.Value = wire.Hello{
 		Name:       h.cfg.Name,
 		Cell:       h.cell(),
@@ -50,8 +50,8 @@
 	return nil
 }
 
-// heard notes the address of an instance that has said hello.
-func (h *Host) heard(address string) {
+// Heard notes the address of an instance that has said hello.
+func (h *Host) Heard(address string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.nodes[address] = time.Now()
--- /dev/null
+++ b/internal/push/push_test.go
@@ -0,0 +1,184 @@
+package push
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+const patience = 10 * time.Second
+
+func TestStepsInOrder(t *testing.T) {
+	s := newScene(t, false, "w0", "w1")
+	second := tasks(3)
+	second.Depends = []int{0}
+	s.submit("a", tasks(3), second)
+	s.eventually(patience, "job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	s.fleet.read(func() {
+		s.c.Assert(s.fleet.starts, qt.HasLen, 6)
+		for i, start := range s.fleet.starts {
+			s.c.Assert(start.Task.Step, qt.Equals, i/3)
+		}
+	})
+	s.never()
+}
+
+// A renewal's answer between the commit of a placement and its order must not
+// bring a second start, without the ticket.
+func TestEachStartIsSentOnce(t *testing.T) {
+	s := newScene(t, true, "w0", "w1")
+	for i := range 40 {
+		s.submit(graph.JobID(string(rune('a'+i%26))+string(rune('a'+i/26))), tasks(2))
+	}
+	s.eventually(patience, "all starts sent", func() bool {
+		n := 0
+		s.fleet.read(func() { n = len(s.fleet.starts) })
+		return n >= 80
+	})
+	s.fleet.read(func() {
+		s.c.Assert(s.fleet.refused, qt.Equals, 0)
+		s.c.Assert(s.fleet.starts, qt.HasLen, 80)
+	})
+	s.never()
+}
+
+// A target that falls silent keeps its runs until its lease is surely over;
+// then they run elsewhere.
+func TestSilentTargetIsGivenUp(t *testing.T) {
+	s := newScene(t, false, "w0")
+	lasting := tasks(1)
+	lasting.Lasting = true
+	s.fleet.work = time.Hour
+	s.submit("a", lasting)
+	s.eventually(patience, "task runs", func() bool { return s.runs("w0") == 1 })
+	s.fleet.read(func() { s.fleet.targets["w0"].silent = true })
+	silent := time.Now()
+	s.announce("w1", 1)
+	s.eventually(patience, "task runs elsewhere", func() bool { return s.runs("w1") == 1 })
+	// The last renewal was sent at most one wait before the silence.
+	least := testTerms().TTL - testTerms().Wait
+	s.c.Assert(time.Since(silent) > least, qt.IsTrue)
+	s.never()
+}
+
+func (s *scene) runs(target string) int {
+	n := 0
+	s.fleet.read(func() {
+		if t := s.fleet.targets[target]; t != nil {
+			n = len(t.running)
+		}
+	})
+	return n
+}
+
+// Starts that get no answer and are carried out late run once all the same.
+func TestLateStartsRunOnce(t *testing.T) {
+	s := newScene(t, false, "w0", "w1")
+	s.fleet.work = 300 * time.Millisecond
+	s.fleet.read(func() {
+		s.fleet.targets["w0"].swallow = 5
+		s.fleet.targets["w1"].swallow = 5
+	})
+	for _, id := range []graph.JobID{"a", "b", "c"} {
+		s.submit(id, tasks(2))
+	}
+	for _, id := range []graph.JobID{"a", "b", "c"} {
+		s.eventually(2*patience, "job completed", func() bool {
+			return s.state(id) == graph.StateCompleted
+		})
+	}
+	s.never()
+}
+
+// The room of a run that is being stopped is free only once its end is listed,
+// though it is in neither list for a while.
+func TestStoppedRunHoldsItsRoom(t *testing.T) {
+	s := newScene(t, false, "w0")
+	s.fleet.work = time.Hour
+	s.fleet.stopTakes = 300 * time.Millisecond
+	s.submit("a", tasks(4))
+	s.eventually(patience, "tasks run", func() bool { return s.runs("w0") == 4 })
+	_, fault := s.part.Cancel(s.ctx(), &Query{
+		Address: s.address(),
+		ID:      "a",
+	})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	s.submit("b", tasks(4))
+	s.eventually(patience, "the next job runs", func() bool {
+		most := 0
+		started := false
+		s.fleet.read(func() {
+			most = len(s.fleet.targets["w0"].running)
+			for ref := range s.fleet.targets["w0"].running {
+				started = started || ref.Job == "b"
+			}
+		})
+		s.c.Assert(most <= 4, qt.IsTrue, qt.Commentf("%d run in the room of 4", most))
+		return started
+	})
+}
+
+// A new lifetime under an old id ends the runs of the old one at once.
+func TestNewLifetimeEndsTheOld(t *testing.T) {
+	s := newScene(t, false, "w0")
+	s.fleet.work = time.Hour
+	s.submit("a", tasks(2))
+	s.eventually(patience, "tasks run", func() bool { return s.runs("w0") == 2 })
+	s.announce("w0", 2)
+	s.eventually(patience, "tasks run again", func() bool { return s.runs("w0") == 2 })
+	s.never()
+}
+
+// A heartbeat of an ended lifetime names no target.
+func TestLateHeartbeatIsIgnored(t *testing.T) {
+	s := newScene(t, false, "w0")
+	id := graph.TargetID{
+		ID:   "w0",
+		Born: 1,
+	}
+	s.c.Assert(s.part.Leave(s.ctx(), id) == nil, qt.IsTrue)
+	time.Sleep(300 * time.Millisecond)
+	_, known := s.part.ledger.Target(id)
+	s.c.Assert(known, qt.IsFalse)
+}
+
+// A target that has seen a higher token gets no more orders of this term.
+func TestFencedLeaderStopsOrdering(t *testing.T) {
+	s := newScene(t, false, "w0")
+	s.fleet.read(func() { s.fleet.targets["w0"].token = 1 << 40 })
+	s.submit("a", tasks(1))
+	s.eventually(patience, "leader is fenced", func() bool {
+		return s.part.lead.Load().fenced.Load()
+	})
+	s.c.Assert(s.runs("w0"), qt.Equals, 0)
+}
+
+// Pattern: long calls for advice fill all the time that instances have. Short
+// calls still find an instance, and long ones are put off.
+func TestShortAdviceIsNotBehindLong(t *testing.T) {
+	c := qt.New(t)
+	s := newScene(t, false)
+	now := time.Now()
+	host := s.part.host
+	for _, other := range []string{"127.0.0.2:1", "127.0.0.2:2", "127.0.0.2:3"} {
+		host.Heard(other)
+	}
+	a := newAdvice(s.part.lead.Load())
+	long := 0
+	for {
+		address, _ := a.pick(600 * time.Millisecond)
+		if address == "" {
+			break
+		}
+		long++
+	}
+	c.Assert(long > 3, qt.IsTrue)
+	address, wait := a.pick(20 * time.Millisecond)
+	c.Assert(address, qt.Not(qt.Equals), "")
+	c.Assert(wait < 50*time.Millisecond, qt.IsTrue, qt.Commentf("waits %s since %s", wait, now))
+}
