--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -240,7 +240,7 @@
 
 func testTerms() Terms {
 	terms := DefaultTerms()
-	terms.TTL = 800 * time.Millisecond
+	terms.TTL = 1500 * time.Millisecond
 	terms.Margin = 100 * time.Millisecond
 	terms.Wait = 200 * time.Millisecond
 	terms.Call = 150 * time.Millisecond
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -182,3 +182,26 @@
 	c.Assert(address, qt.Not(qt.Equals), "")
 	c.Assert(wait < 50*time.Millisecond, qt.IsTrue, qt.Commentf("waits %s since %s", wait, now))
 }
+
+// A run that is in the log but whose start is not yet sent is left to the
+// goroutine that sends it, with the ticket.
+func TestPlacedRunIsNotStartedByRenewal(t *testing.T) {
+	s := newScene(t, true, "w0")
+	d := s.part.lead.Load().drive(graph.Target{ID: graph.TargetID{
+		ID:   "w0",
+		Born: 1,
+	}})
+	order := graph.Order{
+		Task:   graph.TaskRef{Job: "a"},
+		Run:    1,
+		Wanted: true,
+	}
+	key := runKey{
+		task: order.Task,
+		run:  order.Run,
+	}
+	s.c.Assert(d.settle(order, key, false, time.Now()), qt.IsFalse)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.c.Assert(d.runs[key].state, qt.Equals, runPlaced)
+}
