Pace best-effort work beside services by their tails

Cause: nothing slowed filler tasks that share a target with services; the planner only preferred other targets. Change: pkg/pace, a controller for each target, fed by the renewals' lists.

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
 const (
@@ -57,7 +58,9 @@
 	state   runState
 	changed time.Time
 	stopAt  time.Time
+	// percent is the pace ordered last; pacing tells of one on its way.
 	percent int
+	pacing  bool
 }
 
 // driver keeps one lifetime of a target: its lease, its runs and their ends.
@@ -85,7 +88,9 @@
 	other    bool
 	// inherited are the runs that an earlier leader placed.
 	inherited map[runKey]bool
-	pacer     pacer
+	pacer     pace.Controller
+	// watched tells that filler work runs beside services.
+	watched bool
 }
 
 func newDriver(l *leader, t graph.Target) *driver {
@@ -276,8 +281,11 @@
 	d.mu.Lock()
 	order.Acked = d.seen
 	silent := d.failures > 0
-	if !d.met || silent || d.doubts() {
+	switch {
+	case !d.met || silent || d.doubts():
 		order.Wait = 0
+	case d.watched:
+		order.Wait = min(order.Wait, pacedWait)
 	}
 	d.mu.Unlock()
 	// Each renewal that may arrive puts the end of the lease off, so a target
@@ -475,7 +483,7 @@
 	info = &runInfo{
 		state:   runPlaced,
 		changed: time.Now(),
-		percent: fullPace,
+		percent: pace.Full,
 	}
 	if d.inherited[key] {
 		info.state = runUnknown
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -13,7 +13,6 @@
 const (
 	// startTries is how often a start without an answer is sent.
 	startTries = 3
-	fullPace   = 100
 )
 
 // start orders a run to start, on a goroutine of its own.
--- a/internal/push/pace.go
+++ b/internal/push/pace.go
@@ -1,8 +1,79 @@
 package push
 
-// pacer steers the filler runs of one target.
-type pacer struct {
-	percent int
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/pkg/pace"
+)
+
+// pacedWait is how long a renewal waits at a target whose filler work is
+// watched.
+const pacedWait = 500 * time.Millisecond
+
+// pace steers the filler runs on the target by the services that it listed.
+func (d *driver) pace(listing Listing) {
+	var services []pace.Service
+	var fillers []runKey
+	for _, r := range listing.Running {
+		key := runKey{
+			task: r.Task,
+			run:  r.Run,
+		}
+		order := d.leader.part.ledger.OrderOf(d.target.ID, r.Task, r.Run)
+		switch {
+		case !order.Wanted:
+		case order.Filler:
+			fillers = append(fillers, key)
+		case order.Latency > 0:
+			services = append(services, pace.Service{
+				Tail:   time.Duration(r.Load) * time.Millisecond,
+				Target: time.Duration(order.Latency) * time.Millisecond,
+			})
+		}
+	}
+	d.mu.Lock()
+	d.watched = len(fillers) > 0 && len(services) > 0
+	percent := d.pacer.Update(time.Now(), services)
+	var changed []runKey
+	for _, key := range fillers {
+		if info := d.known(key); info.percent != percent && !info.pacing {
+			info.pacing = true
+			changed = append(changed, key)
+		}
+	}
+	d.mu.Unlock()
+	for _, key := range changed {
+		d.leader.goRun(func() { d.sendPace(key, percent) })
+	}
 }
 
-func (d *driver) pace(Listing) {}
+func (d *driver) sendPace(key runKey, percent int) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
+	defer cancel()
+	clock, err := d.leader.part.targets.Pace(ctx, &d.target, Pace{
+		Task:    key.task,
+		Run:     key.run,
+		Percent: percent,
+		Token:   d.leader.token(),
+	})
+	d.note(clock, err)
+	entry := d.log.WithFields(logrus.Fields{
+		"job":     key.task.Job,
+		"task":    key.task.Name(),
+		"run":     key.run,
+		"percent": percent,
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.known(key)
+	info.pacing = false
+	if err != nil {
+		entry.WithError(err).Warn("target: pace not taken")
+		return
+	}
+	info.percent = percent
+	entry.Info("target: paced")
+}
