--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -24,6 +24,9 @@
 	placedFor = time.Second
 	// listedEnds is how many ends a target lists at most in one answer.
 	listedEnds = 500
+	// doubtWait is how long a renewal waits while a run is being stopped or
+	// its start is in doubt.
+	doubtWait = 150 * time.Millisecond
 	// stopAgain is after how long an order to stop is sent again.
 	stopAgain = 500 * time.Millisecond
 )
@@ -282,8 +285,10 @@
 	order.Acked = d.seen
 	silent := d.failures > 0
 	switch {
-	case !d.met || silent || d.doubts():
+	case !d.met || silent:
 		order.Wait = 0
+	case d.doubts():
+		order.Wait = min(order.Wait, doubtWait)
 	case d.watched:
 		order.Wait = min(order.Wait, pacedWait)
 	}
