Move tasks that stand still

Cause: a run on a target that lets its tasks stand still was waited for until its lease ended, which renewals put off for ever.

--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -51,6 +51,8 @@
 	refused   int
 	twice     []string
 	good      map[string]string
+	// hang is a task whose first run stands still.
+	hang graph.TaskRef
 }
 
 var (
@@ -149,6 +151,9 @@
 		run:  order.Run,
 		ends: time.Now().Add(f.work),
 	}
+	if order.Task == f.hang && order.Run == 1 {
+		target.running[order.Task].ends = time.Now().Add(time.Hour)
+	}
 	return nil
 }
 
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -24,6 +24,10 @@
 	// maxProposing bounds the decisions that are on their way into the log.
 	maxProposing = 3
 	upkeepEvery  = 100 * time.Millisecond
+	stallEvery   = 300 * time.Millisecond
+	// stallTimes is how many times as long as its siblings a task runs when
+	// it is taken to stand still.
+	stallTimes = 2.5
 )
 
 // Terms are the times of the leases that targets get.
@@ -117,6 +121,7 @@
 	}
 	l.goRun(l.decideAll)
 	l.goRun(l.upkeep)
+	l.goRun(l.watchStalls)
 }
 
 func (l *leader) goRun(run func()) {
@@ -351,6 +356,34 @@
 	}
 }
 
+// watchStalls moves tasks that stand still: those that have run for several
+// times as long as the longest of their siblings.
+func (l *leader) watchStalls() {
+	for pause(l.ctx, stallEvery) {
+		var stalled []graph.TaskRef
+		for _, ref := range l.part.ledger.Movable() {
+			if l.rater.Stalled(stepOf(ref), ref.Index, stallTimes, time.Now()) {
+				stalled = append(stalled, ref)
+			}
+		}
+		if len(stalled) == 0 {
+			continue
+		}
+		for _, ref := range stalled {
+			l.rater.Failed(stepOf(ref), ref.Index)
+			l.log.WithFields(logrus.Fields{
+				"job":  ref.Job,
+				"task": ref.Name(),
+			}).Warn("sched: task stands still, it is moved")
+		}
+		if _, fault := l.propose(l.ctx, graph.Command{Evict: &graph.Evict{Tasks: stalled}}); fault != nil {
+			l.log.WithField("fault", fault.Error()).Warn("sched: eviction not committed")
+			continue
+		}
+		l.stopUnwanted()
+	}
+}
+
 // pause waits, and tells false when the context ended first.
 func pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -205,3 +205,21 @@
 	defer d.mu.Unlock()
 	s.c.Assert(d.runs[key].state, qt.Equals, runPlaced)
 }
+
+// Pattern: one target lets what it starts stand still. Its task is stopped and
+// runs elsewhere, once its siblings tell how long it should take.
+func TestStalledTaskIsMoved(t *testing.T) {
+	s := newScene(t, false, "w0")
+	s.fleet.work = 200 * time.Millisecond
+	s.fleet.read(func() {
+		s.fleet.hang = graph.TaskRef{
+			Job:   "a",
+			Index: 3,
+		}
+	})
+	s.submit("a", tasks(4))
+	s.eventually(patience, "job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	s.never()
+}
--- a/pkg/rating/rating.go
+++ b/pkg/rating/rating.go
@@ -19,6 +19,9 @@
 	newestEnd   = 0.25
 	leastAlike  = 2
 	leastLength = 20 * time.Millisecond
+	// leastStall is taken for the length of shorter tasks, whose length says
+	// little.
+	leastStall = 150 * time.Millisecond
 	// tolerated is the part of failures that says nothing about a machine.
 	tolerated = 0.3
 	// forgiven is the part of a machine's failures that is left after each
@@ -172,26 +175,20 @@
 	return m.speed
 }
 
-// Stalled returns the tasks of the step that have run for over times as long
-// as the longest of their alike tasks that are done.
-func (r *Rater[S, T]) Stalled(step S, times float64, now time.Time) []int {
+// Stalled tells whether the task has run for over times as long as the longest
+// of its alike tasks that are done.
+func (r *Rater[S, T]) Stalled(step S, task int, times float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.steps[step]
-	if a == nil || len(a.done) < leastAlike {
-		return nil
+	if a == nil || len(a.done) < leastAlike || a.runs[task] == nil {
+		return false
 	}
-	longest := time.Duration(0)
+	longest := leastStall
 	for _, d := range a.done {
 		longest = max(longest, d.length)
 	}
-	var stalled []int
-	for task, running := range a.runs {
-		if now.Sub(running.started) > time.Duration(times*float64(longest)) {
-			stalled = append(stalled, task)
-		}
-	}
-	return stalled
+	return now.Sub(a.runs[task].started) > time.Duration(times*float64(longest))
 }
 
 // Forget drops the steps that are over.
--- a/pkg/rating/rating_test.go
+++ b/pkg/rating/rating_test.go
@@ -86,6 +86,7 @@
 	for task := range 3 {
 		r.Done(1, task, now.Add(time.Second))
 	}
-	c.Assert(r.Stalled(1, 3, now.Add(2*time.Second)), qt.HasLen, 0)
-	c.Assert(r.Stalled(1, 3, now.Add(4*time.Second)), qt.DeepEquals, []int{3})
+	c.Assert(r.Stalled(1, 3, 3, now.Add(2*time.Second)), qt.IsFalse)
+	c.Assert(r.Stalled(1, 3, 3, now.Add(4*time.Second)), qt.IsTrue)
+	c.Assert(r.Stalled(1, 0, 3, now.Add(4*time.Second)), qt.IsFalse)
 }
