--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
@@ -267,3 +268,16 @@
 func (r TaskRef) Name() string {
 	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
 }
+
+// Place returns the task and its run without the job, as logs have them:
+// occurrence.step.index:run.
+func (r TaskRef) Place(run uint32) string {
+	name := make([]byte, 0, 24)
+	name = strconv.AppendInt(name, int64(r.Occurrence), 10)
+	name = append(name, '.')
+	name = strconv.AppendInt(name, int64(r.Step), 10)
+	name = append(name, '.')
+	name = strconv.AppendInt(name, int64(r.Index), 10)
+	name = append(name, ':')
+	return string(strconv.AppendUint(name, uint64(run), 10))
+}
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -243,3 +243,13 @@
 	}
 	return refs
 }
+
+// Holds counts the runs that the target may hold.
+func (l *Ledger) Holds(id TargetID) int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if t := l.targets[id]; t != nil {
+		return len(t.Runs)
+	}
+	return 0
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -90,6 +90,8 @@
 	// due is when the job's aim passes.
 	due      graph.Millis
 	priority int
+	// good are the targets that the advisor called good.
+	good []*slot
 }
 
 // planner holds one decision as it is made.
@@ -377,7 +379,7 @@
 	}
 	var best *slot
 	bestScore := 0.0
-	for _, s := range p.targets[p.in.View.ServiceOf(r.job)] {
+	for _, s := range p.candidates(r, advised) {
 		if !p.fits(r, ref, s, advised) {
 			continue
 		}
@@ -388,6 +390,25 @@
 	return best
 }
 
+// candidates returns the targets that may run the round: those that the
+// advisor called good, where it is asked.
+func (p *planner) candidates(r *round, advised *Advised) []*slot {
+	service := p.in.View.ServiceOf(r.job)
+	if advised == nil {
+		return p.targets[service]
+	}
+	if r.good != nil {
+		return r.good
+	}
+	r.good = make([]*slot, 0, len(advised.Good))
+	for id := range advised.Good {
+		if s := p.byID[id]; s != nil && s.target.Service == service {
+			r.good = append(r.good, s)
+		}
+	}
+	return r.good
+}
+
 func (p *planner) fits(r *round, ref graph.TaskRef, s *slot, advised *Advised) bool {
 	if !r.step.Takes().Fits(s.free) || !s.target.Has(r.step.Label) {
 		return false
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -202,8 +203,7 @@
 // ends the lifetime when the lease is over without an answer.
 func (d *driver) keep() {
 	for d.ctx.Err() == nil {
-		orders := d.leader.part.ledger.Orders(d.target.ID)
-		if d.idle(orders) {
+		if d.idle(d.leader.part.ledger.Holds(d.target.ID)) {
 			d.rest()
 			continue
 		}
@@ -227,10 +227,10 @@
 }
 
 // idle tells that the target has no runs, and no ends to be acknowledged.
-func (d *driver) idle(orders []graph.Order) bool {
+func (d *driver) idle(runs int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.met && len(orders) == 0 && d.acked == d.seen && d.failures == 0
+	return d.met && runs == 0 && d.acked == d.seen && d.failures == 0
 }
 
 func (d *driver) rest() {
@@ -335,7 +335,7 @@
 		d.log.WithError(err).Warn("target: no answer")
 		d.leader.poke()
 	}
-	if !silent || !stale && !other && len(d.leader.part.ledger.Orders(d.target.ID)) == 0 {
+	if !silent || !stale && !other && d.leader.part.ledger.Holds(d.target.ID) == 0 {
 		return false
 	}
 	return d.leader.end("lease over", d.target.ID) == nil
@@ -393,17 +393,36 @@
 	}
 	for _, e := range ends {
 		d.rate(e)
-		d.log.WithFields(logrus.Fields{
-			"job":  e.Task.Job,
-			"task": e.Task.Name(),
-			"run":  e.Run,
-			"how":  e.How.String(),
-		}).Info("target: run ended")
 	}
+	d.logEnds(ends)
 	d.leader.poke()
 	return nil
 }
 
+// logEnds writes a line for each job and kind of end: the ends of one listing
+// mostly belong to one step.
+func (d *driver) logEnds(ends []graph.End) {
+	type group struct {
+		job graph.JobID
+		how graph.How
+	}
+	tasks := map[group][]string{}
+	for _, e := range ends {
+		g := group{
+			job: e.Task.Job,
+			how: e.How,
+		}
+		tasks[g] = append(tasks[g], e.Task.Place(e.Run))
+	}
+	for g, names := range tasks {
+		d.log.WithFields(logrus.Fields{
+			"job":   g.job,
+			"how":   g.how.String(),
+			"tasks": strings.Join(names, " "),
+		}).Info("target: runs ended")
+	}
+}
+
 // reconcile compares what the target should hold with what it listed on a
 // request sent at the time.
 func (d *driver) reconcile(sent time.Time, listing Listing) {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -257,6 +258,7 @@
 	if fault != nil {
 		return
 	}
+	placed := map[plan.StepKey][]string{}
 	for i, group := range d.Groups {
 		if refusal := result.Groups[i]; refusal != "" {
 			l.log.WithFields(logrus.Fields{
@@ -266,9 +268,17 @@
 			continue
 		}
 		for _, spot := range group {
+			step := stepOf(spot.Task)
+			placed[step] = append(placed[step], spot.Task.Place(spot.Run)+"@"+spot.Target.ID)
 			l.send(spot, d.Tickets[spot.Task])
 		}
 	}
+	for step, spots := range placed {
+		l.log.WithFields(logrus.Fields{
+			"job":   step.Job,
+			"tasks": strings.Join(spots, " "),
+		}).Info("sched: placed")
+	}
 }
 
 // send has the target's driver order the start.
@@ -279,12 +289,6 @@
 	if d == nil {
 		return
 	}
-	l.log.WithFields(logrus.Fields{
-		"job":    spot.Task.Job,
-		"task":   spot.Task.Name(),
-		"run":    spot.Run,
-		"target": spot.Target.ID,
-	}).Info("sched: placed")
 	d.start(spot.Task, spot.Run, ticket)
 }
 
