--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -36,10 +36,46 @@
 func (l *Ledger) Admits(s *Submit) (known bool, refusal Refusal) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if _, _, refusal = l.resolve(s.Address); refusal != "" {
+	queue, tenant, refusal := l.resolve(s.Address)
+	if refusal != "" {
 		return false, refusal
 	}
-	return l.jobs[s.ID] != nil, ""
+	if l.jobs[s.ID] != nil {
+		return true, ""
+	}
+	return false, l.everFits(queue, tenant, s.Spec.Steps)
+}
+
+// everFits refuses a job with a step whose tasks no known target could run if
+// it were empty, or that alone pass the tenant's limit.
+func (l *Ledger) everFits(queue *Queue, tenant string, steps []Step) Refusal {
+	for i := range steps {
+		step := &steps[i]
+		if t := l.config.tenants[tenant]; t != nil && !within(step.Room, t.Limit) {
+			return RefusedNeverFits
+		}
+		if !l.fitsSome(queue.Service, step) {
+			return RefusedNeverFits
+		}
+	}
+	return ""
+}
+
+// fitsSome tells whether some target of the service could run the step's
+// tasks. While no target is known nothing can be said against it.
+func (l *Ledger) fitsSome(service string, step *Step) bool {
+	room := step.Takes()
+	targets := 0
+	for _, t := range l.targets {
+		if t.Service != service {
+			continue
+		}
+		targets++
+		if room.Fits(t.Capacity) && t.Has(step.Label) {
+			return true
+		}
+	}
+	return targets == 0
 }
 
 // Config returns the set in force, or nil.
@@ -253,3 +289,32 @@
 	}
 	return 0
 }
+
+// Counts sums the ledger up for those who watch it.
+type Counts struct {
+	Live    int
+	Pending int
+	Waiting int
+	Targets int
+	Version int64
+}
+
+// Counts returns the sums now.
+func (l *Ledger) Counts() Counts {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	c := Counts{
+		Live:    len(l.live),
+		Targets: len(l.targets),
+	}
+	for _, n := range l.pending {
+		c.Pending += n
+	}
+	for _, job := range l.live {
+		c.Waiting += job.Waiting
+	}
+	if l.config != nil {
+		c.Version = l.config.config.Version
+	}
+	return c
+}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -9,12 +10,20 @@
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
+// neverFitsRetry is when a job that fits no target may come again: targets of
+// another size may have been added by then.
+const neverFitsRetry = 10 * time.Second
+
 // submit admits a job, or finds that it is admitted already.
 func (l *leader) submit(ctx context.Context, s *graph.Submit) (Answer, *wire.Fault) {
 	known, refusal := l.part.ledger.Admits(s)
 	if refusal != "" || known {
 		l.admitted(s.ID, refusal, known)
-		return Answer{Refusal: refusal}, nil
+		answer := Answer{Refusal: refusal}
+		if refusal == graph.RefusedNeverFits {
+			answer.RetryAfter = neverFitsRetry
+		}
+		return answer, nil
 	}
 	result, fault := l.propose(ctx, graph.Command{Submit: s})
 	if fault != nil {
@@ -28,6 +37,12 @@
 
 func (l *leader) admitted(id graph.JobID, refusal graph.Refusal, again bool) {
 	entry := l.log.WithField("job", id)
+	l.part.metrics.admitted.WithLabelValues(string(refusal)).Inc()
+	if refusal == "" && !again {
+		l.mu.Lock()
+		l.admittedAt[id] = time.Now()
+		l.mu.Unlock()
+	}
 	if refusal != "" {
 		entry.WithField("refusal", refusal).Info("admit: refused")
 		return
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -149,6 +149,7 @@
 	ctx, cancel := context.WithTimeout(a.leader.ctx, wait+adviceSlack)
 	defer cancel()
 	got, err := a.callAt(ctx, q, address, wait+adviceSlack)
+	since(a.leader.part.metrics.advice, sent)
 	fields := logrus.Fields{
 		"job":     q.Step.Job,
 		"step":    q.Step.Step,
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -82,7 +82,9 @@
 	// the proposals that bring them.
 	pending   map[graph.TaskRef]graph.TargetID
 	proposing int
-	drivers   map[graph.TargetID]*driver
+	// admittedAt are the jobs admitted by this leader that have not begun.
+	admittedAt map[graph.JobID]time.Time
+	drivers    map[graph.TargetID]*driver
 	// newest is the newest lifetime known of an id, over tells of those that
 	// have ended.
 	newest map[string]int64
@@ -104,6 +106,9 @@
 		wake:    make(chan struct{}, 1),
 		rater:   rating.NewRater[plan.StepKey, graph.TargetID](),
 		pending: map[graph.TaskRef]graph.TargetID{},
+
+		admittedAt: map[graph.JobID]time.Time{},
+
 		drivers: map[graph.TargetID]*driver{},
 		newest:  map[string]int64{},
 		over:    map[graph.TargetID]bool{},
@@ -165,7 +170,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	sent := time.Now()
 	value, err := l.part.host.Replica().Propose(ctx, data)
+	since(l.part.metrics.commit, sent)
 	switch {
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeaderChanging):
 		return graph.Result{}, wire.Newf(wire.CodeNotLeader, "")
@@ -223,6 +230,7 @@
 			Speed:   l.rater.Speed,
 		})
 	})
+	since(l.part.metrics.decide, now)
 	for _, q := range d.Questions {
 		l.advice.ask(q)
 	}
@@ -274,6 +282,7 @@
 		}
 	}
 	for step, spots := range placed {
+		l.firstPlaced(step.Job)
 		l.log.WithFields(logrus.Fields{
 			"job":   step.Job,
 			"tasks": strings.Join(spots, " "),
@@ -281,6 +290,17 @@
 	}
 }
 
+// firstPlaced notes how long the job has waited, at its first placement.
+func (l *leader) firstPlaced(id graph.JobID) {
+	l.mu.Lock()
+	at, waits := l.admittedAt[id]
+	delete(l.admittedAt, id)
+	l.mu.Unlock()
+	if waits {
+		since(l.part.metrics.begun, at)
+	}
+}
+
 // send has the target's driver order the start.
 func (l *leader) send(spot graph.Spot, ticket string) {
 	l.mu.Lock()
@@ -349,6 +369,7 @@
 	every := 5 * time.Second
 	for pause(l.ctx, every) {
 		l.advice.clean()
+		l.forgetAdmitted()
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.part.ledger.Live(step.Job) })
 		before := graph.Millis(time.Now().Add(-l.part.terms.Keep).UnixMilli())
 		if l.part.ledger.Ended(before) < 100 {
@@ -360,6 +381,17 @@
 	}
 }
 
+// forgetAdmitted drops the times of jobs that ended without having begun.
+func (l *leader) forgetAdmitted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.admittedAt {
+		if !l.part.ledger.Live(id) {
+			delete(l.admittedAt, id)
+		}
+	}
+}
+
 // watchStalls moves tasks that stand still: those that have run for several
 // times as long as the longest of their siblings.
 func (l *leader) watchStalls() {
--- /dev/null
+++ b/internal/push/metrics.go
@@ -0,0 +1,98 @@
+package push
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+// metrics are those of one instance. Labels have few values: no names of
+// jobs, tenants or targets.
+type metrics struct {
+	registry *prometheus.Registry
+	leading  prometheus.Gauge
+	admitted *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	ends     *prometheus.CounterVec
+	commit   prometheus.Histogram
+	advice   prometheus.Histogram
+	begun    prometheus.Histogram
+	decide   prometheus.Histogram
+}
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    name,
+		Help:    help,
+		Buckets: prometheus.ExponentialBuckets(1e-3, 2, 14),
+	})
+}
+
+func counters(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	}, []string{label})
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "jasmineward_leading",
+			Help: "1 while this instance leads.",
+		}),
+		admitted: counters("jasmineward_submits_total",
+			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
+		orders: counters("jasmineward_orders_total",
+			"Starts sent by this leader, by what came of them.", "outcome"),
+		ends:   counters("jasmineward_runs_ended_total", "Runs ended, by how.", "how"),
+		commit: histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
+		advice: histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
+		begun:  histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
+		decide: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "jasmineward_plan_seconds",
+			Help:    "Time of one decision.",
+			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
+		}),
+	}
+	m.registry.MustRegister(m.leading, m.admitted, m.orders, m.ends, m.commit, m.advice, m.begun, m.decide,
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// since notes the time since the start, in seconds.
+func since(h prometheus.Histogram, start time.Time) {
+	h.Observe(time.Since(start).Seconds())
+}
+
+// Metrics serves the instance's metrics as text.
+func (p *Part) Metrics() http.Handler {
+	return promhttp.HandlerFor(p.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// gauges adds what is read from the ledger when metrics are fetched.
+func (m *metrics) gauges(ledger *graph.Ledger) {
+	gauge := func(name, help string, value func(graph.Counts) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: name,
+			Help: help,
+		}, func() float64 { return value(ledger.Counts()) }))
+	}
+	gauge("jasmineward_jobs_live", "Jobs admitted and not over.",
+		func(c graph.Counts) float64 { return float64(c.Live) })
+	gauge("jasmineward_jobs_pending", "Jobs of which no task has been placed.",
+		func(c graph.Counts) float64 { return float64(c.Pending) })
+	gauge("jasmineward_tasks_waiting", "Tasks that wait for their turn or for room.",
+		func(c graph.Counts) float64 { return float64(c.Waiting) })
+	gauge("jasmineward_targets", "Targets known.",
+		func(c graph.Counts) float64 { return float64(c.Targets) })
+	gauge("jasmineward_configuration_version", "Version of the configuration in force here.",
+		func(c graph.Counts) float64 { return float64(c.Version) })
+}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -50,6 +50,7 @@
 // rate tells the rater of an end.
 func (d *driver) rate(e graph.End) {
 	step := stepOf(e.Task)
+	d.leader.part.metrics.ends.WithLabelValues(e.How.String()).Inc()
 	switch e.How {
 	case graph.HowDone:
 		d.leader.rater.Done(step, e.Task.Index, time.Now())
@@ -126,6 +127,7 @@
 		})
 		cancel()
 		d.note(clock, err)
+		d.leader.part.metrics.orders.WithLabelValues(outcomeOf(err)).Inc()
 		if err == nil {
 			return runStarted
 		}
@@ -148,6 +150,21 @@
 	return runDoubtful
 }
 
+// outcomeOf names what came of an order.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "taken"
+	case errors.Is(err, ErrFenced):
+		return "fenced"
+	case errors.Is(err, ErrRefused):
+		return "refused"
+	case errors.Is(err, ErrOtherLifetime):
+		return "other-lifetime"
+	}
+	return "unanswered"
+}
+
 // note takes the clock of an answer, or counts that there was none.
 func (d *driver) note(clock Clock, err error) {
 	d.mu.Lock()
--- a/internal/push/part.go
+++ b/internal/push/part.go
@@ -23,6 +23,7 @@
 	advisor Advisor
 	terms   Terms
 	log     *logrus.Logger
+	metrics *metrics
 	lead    atomic.Pointer[leader]
 }
 
@@ -37,7 +38,9 @@
 		advisor: advisor,
 		terms:   terms,
 		log:     log,
+		metrics: newMetrics(),
 	}
+	p.metrics.gauges(p.ledger)
 	host, err := group.NewHost(cfg, p, log)
 	if err != nil {
 		return nil, err
@@ -95,6 +98,7 @@
 // Leading starts the leader's work.
 func (p *Part) Leading(term uint64) {
 	p.log.WithField("term", term).Info("sched: leading")
+	p.metrics.leading.Set(1)
 	l := newLeader(p, term)
 	p.lead.Store(l)
 	l.start()
@@ -103,6 +107,7 @@
 // Following stops the leader's work.
 func (p *Part) Following() {
 	p.log.Info("sched: no longer leading")
+	p.metrics.leading.Set(0)
 	if l := p.lead.Swap(nil); l != nil {
 		l.stop()
 	}
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -1,6 +1,8 @@
 package push
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -223,3 +225,56 @@
 	})
 	s.never()
 }
+
+// Metrics tell what the leader did, and name no job, tenant or target.
+func TestMetrics(t *testing.T) {
+	s := newScene(t, true, "w0")
+	s.submit("a", tasks(2))
+	s.eventually(patience, "job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	recorder := httptest.NewRecorder()
+	s.part.Metrics().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := recorder.Body.String()
+	for _, line := range []string{
+		"jasmineward_leading 1",
+		`jasmineward_submits_total{refusal=""} 1`,
+		`jasmineward_orders_total{outcome="taken"} 2`,
+		`jasmineward_runs_ended_total{how="done"} 2`,
+		"jasmineward_first_start_seconds_count 1",
+		"jasmineward_jobs_live 0",
+		"jasmineward_configuration_version 1",
+	} {
+		s.c.Check(text, qt.Contains, line)
+	}
+	s.c.Check(text, qt.Not(qt.Contains), "w0")
+}
+
+// A job that no target could ever run is refused at once, with a time to come
+// back, and does not wait for its deadline.
+func TestNeverFitsIsRefusedAtOnce(t *testing.T) {
+	s := newScene(t, false, "w0")
+	wide := tasks(1)
+	wide.Room.CPU = 5000
+	labelled := tasks(1)
+	labelled.Label = "none"
+	for id, step := range map[graph.JobID]graph.Step{
+		"a": wide,
+		"b": labelled,
+	} {
+		answer, fault := s.part.Submit(s.ctx(), &graph.Submit{
+			Address: s.address(),
+			ID:      id,
+			Spec:    graph.Spec{Steps: []graph.Step{tasks(1), step}},
+		})
+		s.c.Assert(fault == nil, qt.IsTrue)
+		s.c.Assert(answer.Refusal, qt.Equals, graph.RefusedNeverFits)
+		s.c.Assert(answer.RetryAfter > 0, qt.IsTrue)
+	}
+	_, fault := s.part.State(s.ctx(), &Query{
+		Address: s.address(),
+		ID:      "a",
+	})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	s.fleet.read(func() { s.c.Assert(s.fleet.starts, qt.HasLen, 0) })
+}
