--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -89,7 +89,6 @@
 	failures int
 	beatAt   time.Time
 	met      bool
-	other    bool
 	// inherited are the runs that an earlier leader placed.
 	inherited map[runKey]bool
 	pacer     pace.Controller
@@ -188,7 +187,7 @@
 func (d *driver) usable() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.met && !d.other && d.failures == 0 && !d.clockAt.IsZero() &&
+	return d.met && d.failures == 0 && !d.clockAt.IsZero() &&
 		time.Since(d.beatAt) < d.leader.part.terms.Silent
 }
 
@@ -321,21 +320,21 @@
 	if d.ctx.Err() != nil {
 		return true
 	}
+	// An address has one process, so the one that had it before is gone.
+	if errors.Is(err, ErrOtherLifetime) {
+		return d.leader.end("another lifetime has its address", d.target.ID) == nil
+	}
 	d.mu.Lock()
 	d.failures++
 	failures := d.failures
-	if errors.Is(err, ErrOtherLifetime) {
-		d.other = true
-	}
 	silent := time.Now().After(d.leased)
 	stale := time.Since(d.beatAt) > d.leader.part.terms.Silent
-	other := d.other
 	d.mu.Unlock()
 	if failures == 1 {
 		d.log.WithError(err).Warn("target: no answer")
 		d.leader.poke()
 	}
-	if !silent || !stale && !other && d.leader.part.ledger.Holds(d.target.ID) == 0 {
+	if !silent || !stale && d.leader.part.ledger.Holds(d.target.ID) == 0 {
 		return false
 	}
 	return d.leader.end("lease over", d.target.ID) == nil
--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -27,6 +27,7 @@
 // ends listed until they are acknowledged.
 type fakeTarget struct {
 	born     time.Time
+	lifetime int64
 	token    uint64
 	deadline Clock
 	running  map[graph.TaskRef]*fakeRun
@@ -105,6 +106,9 @@
 	for _, other := range f.targets {
 		f.advance(other)
 	}
+	if target.lifetime != t.ID.Born {
+		return nil, ErrOtherLifetime
+	}
 	if token < target.token {
 		return nil, ErrFenced
 	}
@@ -337,9 +341,10 @@
 // while it is not silent.
 func (s *scene) announce(name string, born int64) {
 	target := &fakeTarget{
-		born:    time.Now(),
-		running: map[graph.TaskRef]*fakeRun{},
-		highest: map[graph.TaskRef]uint32{},
+		born:     time.Now(),
+		lifetime: born,
+		running:  map[graph.TaskRef]*fakeRun{},
+		highest:  map[graph.TaskRef]uint32{},
 	}
 	s.fleet.read(func() { s.fleet.targets[name] = target })
 	beat := func() {
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -278,3 +278,24 @@
 	s.c.Assert(fault == nil, qt.IsTrue)
 	s.fleet.read(func() { s.c.Assert(s.fleet.starts, qt.HasLen, 0) })
 }
+
+// Another lifetime at the address shows that the one before is gone: its runs
+// go on elsewhere before its lease would have ended.
+func TestOtherLifetimeAtAddress(t *testing.T) {
+	s := newScene(t, false, "w0")
+	s.fleet.work = time.Hour
+	s.submit("a", tasks(2))
+	s.eventually(patience, "tasks run", func() bool { return s.runs("w0") == 2 })
+	s.announce("w1", 1)
+	born := time.Now()
+	s.fleet.read(func() {
+		s.fleet.targets["w0"] = &fakeTarget{
+			born:     born,
+			lifetime: 2,
+			running:  map[graph.TaskRef]*fakeRun{},
+			highest:  map[graph.TaskRef]uint32{},
+		}
+	})
+	s.eventually(testTerms().TTL, "tasks run elsewhere", func() bool { return s.runs("w1") == 2 })
+	s.never()
+}
