--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -112,7 +112,7 @@
 // name and address, and while it leads, keeps the voters as wanted.
 func (h *Host) keepMember() {
 	every := joinEvery
-	for pause(h.ctx, every) {
+	for Pause(h.ctx, every) {
 		every = joinEvery
 		settled, err := h.ensureMember()
 		if err != nil {
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -52,7 +52,7 @@
 // run pings the leader on a connection of its own, so that calls which wait
 // there are not stuck when it has fallen silent.
 func (r *router) run() {
-	for pause(r.host.ctx, pingEvery) {
+	for Pause(r.host.ctx, pingEvery) {
 		r.ping()
 	}
 }
@@ -296,7 +296,7 @@
 		}
 		wait := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
-		if !pause(ctx, wait) {
+		if !Pause(ctx, wait) {
 			fault := wire.Newf(wire.CodeUnavailable, "no leader answered in time")
 			fault.RetryAfter = retryAfter
 			return reply.Value, fault
@@ -338,8 +338,8 @@
 	return callAt[A, V](ctx, h, address, method, args, limit)
 }
 
-// pause waits, and tells false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
+// Pause waits, and tells false when the context ended first.
+func Pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/note"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
@@ -44,20 +45,11 @@
 func (f *follower) run() {
 	for f.node.ctx.Err() == nil {
 		if !f.once() {
-			f.pause()
+			group.Pause(f.node.ctx, minBackoff)
 		}
 	}
 }
 
-func (f *follower) pause() {
-	timer := time.NewTimer(minBackoff)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-f.node.ctx.Done():
-	}
-}
-
 // once asks the leader for news, and tells whether it answered.
 func (f *follower) once() bool {
 	sent := time.Now()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/peer"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
@@ -331,13 +332,13 @@
 	if _, fresh := r.node.Config(); !fresh {
 		// Another instance may be better placed, so the caller should not
 		// be kept here for long; at once would let it come back in a loop.
-		pause(ctx, maxBackoff/2+rand.N(maxBackoff))
+		group.Pause(ctx, maxBackoff/2+rand.N(maxBackoff))
 		return unavailable("no leader heard from lately")
 	}
 	r.node.meter.Retries.Inc()
 	wait := *backoff/2 + rand.N(*backoff)
 	*backoff = min(2*(*backoff), maxBackoff)
-	if pause(ctx, wait) {
+	if group.Pause(ctx, wait) {
 		return nil
 	}
 	if fault != nil {
@@ -346,18 +347,6 @@
 	return unavailable("no leader answered in time")
 }
 
-// pause waits, and tells false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func unavailable(detail string) *wire.Fault {
 	fault := wire.Newf(wire.CodeUnavailable, detail)
 	fault.RetryAfter = defaultRetry
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/ledger"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/sched"
@@ -164,7 +165,7 @@
 // recheck takes back what the ledger does not have. Should a placement come
 // to be committed later still, the engine is told of it.
 func (l *leader) recheck(decisions []sched.Decision) {
-	if !pause(l.ctx, recheckAfter) {
+	if !group.Pause(l.ctx, recheckAfter) {
 		return
 	}
 	for _, d := range decisions {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
@@ -202,7 +203,7 @@
 		if l.mayOrder() {
 			l.decide()
 		}
-		if !pause(l.ctx, decideGap) {
+		if !group.Pause(l.ctx, decideGap) {
 			return
 		}
 	}
@@ -367,7 +368,7 @@
 // upkeep forgets old jobs and advice.
 func (l *leader) upkeep() {
 	every := 5 * time.Second
-	for pause(l.ctx, every) {
+	for group.Pause(l.ctx, every) {
 		l.advice.clean()
 		l.forgetAdmitted()
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.part.ledger.Live(step.Job) })
@@ -395,7 +396,7 @@
 // watchStalls moves tasks that stand still: those that have run for several
 // times as long as the longest of their siblings.
 func (l *leader) watchStalls() {
-	for pause(l.ctx, stallEvery) {
+	for group.Pause(l.ctx, stallEvery) {
 		var stalled []graph.TaskRef
 		for _, ref := range l.part.ledger.Movable() {
 			if l.rater.Stalled(stepOf(ref), ref.Index, stallTimes, time.Now()) {
@@ -419,15 +420,3 @@
 		l.stopUnwanted()
 	}
 }
-
-// pause waits, and tells false when the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
@@ -110,7 +111,7 @@
 		}
 		deadline := d.lease()
 		if deadline == 0 || !d.leader.mayOrder() {
-			if !pause(d.ctx, retryHold) {
+			if !group.Pause(d.ctx, retryHold) {
 				break
 			}
 			continue
