Keep one hand-over and one bootstrap for both kinds of cell

internal/node and internal/group had the same code for handing leadership over, choosing the successor and writing a first replica's folder; both call the group's now.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -229,7 +229,7 @@
 		return err
 	}
 	if first != nil {
-		if storage, err = bootstrap(dir, storage, *first); err != nil {
+		if storage, err = Bootstrap(dir, storage, *first); err != nil {
 			return err
 		}
 	}
@@ -263,7 +263,9 @@
 	return nil
 }
 
-func bootstrap(dir string, storage *raft.DiskStorage, members raft.Membership) (*raft.DiskStorage, error) {
+// Bootstrap makes the storage in the folder that of a first replica of a new
+// group with the members, and opens it again.
+func Bootstrap(dir string, storage *raft.DiskStorage, members raft.Membership) (*raft.DiskStorage, error) {
 	first := raft.BootstrapGroup(members)
 	if err := storage.SaveSnapshot(first.Snapshot, nil); err != nil {
 		return nil, err
@@ -316,21 +318,27 @@
 	return member.Address
 }
 
-// Resign hands the leadership to the voter heard from last, if this instance
-// has it, and returns when that is done or the context ends.
+// Resign hands the leadership over, if this instance has it.
 func (h *Host) Resign(ctx context.Context) {
-	replica := h.replica.Load()
-	if replica == nil {
-		return
+	if replica := h.replica.Load(); replica != nil {
+		HandOver(ctx, replica, h.cfg.Heartbeat, h.cfg.Election, h.log)
 	}
-	ticker := time.NewTicker(h.cfg.Heartbeat)
+}
+
+// HandOver gives the replica's leadership, if it has it, to the voter heard
+// from last. It returns when that is done, when there is no other voter, or
+// when the context ends.
+func HandOver(
+	ctx context.Context, replica *raft.Replica, heartbeat, election time.Duration, log *logrus.Logger,
+) {
+	ticker := time.NewTicker(heartbeat)
 	defer ticker.Stop()
 	asked := time.Time{}
 	for replica.Status().Role == raft.RoleLeader {
-		if time.Since(asked) > 2*h.cfg.Election {
+		if time.Since(asked) > 2*election {
 			asked = time.Now()
 			if to := successor(ctx, replica); to != 0 {
-				h.log.WithField("to", to).Info("group: handing leadership over")
+				log.Infof("node: handing leadership to %d", to)
 				replica.Transfer(to)
 			}
 		}
@@ -339,6 +347,9 @@
 			return
 		case <-ticker.C:
 		}
+		if len(replica.Status().Membership.Voters()) == 1 {
+			return
+		}
 	}
 }
 
--- a/internal/node/folder.go
+++ b/internal/node/folder.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	if form {
-		if storage, err = n.bootstrap(dir, storage, id); err != nil {
+		if storage, err = group.Bootstrap(dir, storage, raft.Membership{Members: []raft.Member{n.member(id.ID)}}); err != nil {
 			return err
 		}
 	}
@@ -85,20 +85,6 @@
 	return n.runReplica(id, storage)
 }
 
-func (n *Node) bootstrap(dir string, storage *raft.DiskStorage, id group.Identity) (*raft.DiskStorage, error) {
-	first := raft.Bootstrap(n.member(id.ID))
-	if err := storage.SaveSnapshot(first.Snapshot, nil); err != nil {
-		return nil, err
-	}
-	if err := storage.Reset(first.Hard, nil); err != nil {
-		return nil, err
-	}
-	if err := storage.Close(); err != nil {
-		return nil, err
-	}
-	return raft.OpenDisk(dir)
-}
-
 func (n *Node) member(id raft.ID) raft.Member {
 	return raft.Member{
 		ID:      id,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -259,50 +259,9 @@
 	if lead := n.lead.Load(); lead != nil {
 		lead.release()
 	}
-	n.handOver(ctx)
-}
-
-func (n *Node) handOver(ctx context.Context) {
-	replica := n.replica.Load()
-	if replica == nil {
-		return
-	}
-	ticker := time.NewTicker(n.cfg.Timing.Heartbeat)
-	defer ticker.Stop()
-	asked := time.Time{}
-	for replica.Status().Role == raft.RoleLeader {
-		if time.Since(asked) > 2*n.cfg.Timing.Election {
-			asked = time.Now()
-			if to := n.successor(ctx, replica); to != 0 {
-				n.log.Infof("node: handing leadership to %d", to)
-				replica.Transfer(to)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if len(replica.Status().Membership.Voters()) == 1 {
-			return
-		}
-	}
-}
-
-// successor returns the voter that has been heard from last.
-func (n *Node) successor(ctx context.Context, replica *raft.Replica) raft.ID {
-	silent := replica.Silent(ctx)
-	var best raft.ID
-	for _, id := range replica.Status().Membership.Voters() {
-		quiet, ok := silent[id]
-		if !ok {
-			continue
-		}
-		if best == 0 || quiet < silent[best] {
-			best = id
-		}
+	if replica := n.replica.Load(); replica != nil {
+		group.HandOver(ctx, replica, n.cfg.Timing.Heartbeat, n.cfg.Timing.Election, n.log)
 	}
-	return best
 }
 
 // Stop stops the node at once, as a crash would but with files closed.
