Drop two wrappers and an unused method from the new packages

Cause: group.CallAt and graph.Within only passed on to private twins, and graph.Config.String was called by nobody. Change: one function of each. No change of behaviour.

--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -1,7 +1,6 @@
 package graph
 
 import (
-	"fmt"
 	"sort"
 	"strings"
 	"time"
@@ -161,14 +160,10 @@
 	return nil
 }
 
-// within tells whether the sum keeps to the limit, where zero is none.
-func within(sum, limit quota.Room) bool {
+// Within tells whether the sum keeps to the limit, of which zero components
+// are none.
+func Within(sum, limit quota.Room) bool {
 	return (limit.CPU == 0 || sum.CPU <= limit.CPU) &&
 		(limit.Memory == 0 || sum.Memory <= limit.Memory) &&
 		(limit.Accelerators == 0 || sum.Accelerators <= limit.Accelerators)
 }
-
-// String names the version.
-func (c *Config) String() string {
-	return fmt.Sprintf("version %d", c.Version)
-}
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -236,7 +236,7 @@
 			t.Fatalf("%s uses %v, says %v of %v", id.ID, used, target.Used, target.Capacity)
 		}
 	}
-	if usage["t"] != l.usage["t"] || !within(usage["t"], l.config.tenants["t"].Limit) {
+	if usage["t"] != l.usage["t"] || !Within(usage["t"], l.config.tenants["t"].Limit) {
 		t.Fatalf("tenant uses %v, ledger says %v", usage["t"], l.usage["t"])
 	}
 	pending := 0
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -51,7 +51,7 @@
 func (l *Ledger) everFits(queue *Queue, tenant string, steps []Step) Refusal {
 	for i := range steps {
 		step := &steps[i]
-		if t := l.config.tenants[tenant]; t != nil && !within(step.Room, t.Limit) {
+		if t := l.config.tenants[tenant]; t != nil && !Within(step.Room, t.Limit) {
 			return RefusedNeverFits
 		}
 		if !l.fitsSome(queue.Service, step) {
@@ -219,12 +219,6 @@
 	return v.ledger.usage[name], v.ledger.config.tenants[name]
 }
 
-// Within tells whether the sum keeps to the limit, of which zero components
-// are none.
-func Within(sum, limit quota.Room) bool {
-	return within(sum, limit)
-}
-
 // Ended counts the jobs that ended before the time.
 func (l *Ledger) Ended(before Millis) int {
 	l.mu.RLock()
--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	t := l.config.tenants[tenant]
-	return t == nil || within(l.usage[tenant].Add(room), t.Limit)
+	return t == nil || Within(l.usage[tenant].Add(room), t.Limit)
 }
 
 func (l *Ledger) checkTarget(job *Job, step *Step, target *Target, ref TaskRef) Refusal {
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -315,10 +315,11 @@
 	if address == "" || address == h.cfg.Address {
 		return reply, peer.ErrUnreachable
 	}
-	return callAt[A, V](ctx, h, address, method, args, callTimeout)
+	return CallAt[A, V](ctx, h, address, method, args, callTimeout)
 }
 
-func callAt[A, V any](
+// CallAt makes one call to the instance at the address.
+func CallAt[A, V any](
 	ctx context.Context, h *Host, address, method string, args *A, limit time.Duration,
 ) (wire.Reply[V], error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -331,13 +332,6 @@
 	return *reply, nil
 }
 
-// CallAt makes one call to the instance at the address.
-func CallAt[A, V any](
-	ctx context.Context, h *Host, address, method string, args *A, limit time.Duration,
-) (wire.Reply[V], error) {
-	return callAt[A, V](ctx, h, address, method, args, limit)
-}
-
 // Pause waits, and tells false when the context ended first.
 func Pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
