--- a/cmd/jasmined/process_test.go
+++ b/cmd/jasmined/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/client"
 	"github.com/jasmineward/jasmineward/internal/load"
+	"github.com/jasmineward/jasmineward/internal/local"
 	"github.com/jasmineward/jasmineward/internal/note"
 )
 
@@ -59,16 +59,16 @@
 	dir := t.TempDir()
 	var peers []string
 	for range 3 {
-		peers = append(peers, freeAddress(c))
+		peers = append(peers, local.Address())
 	}
 	var all []*process
 	for i, domain := range []string{"ba", "nadi", "sigatoka"} {
 		p := &process{
 			c:       c,
 			name:    fmt.Sprintf("i%d", i+1),
-			callers: freeAddress(c),
-			targets: freeAddress(c),
-			opers:   freeAddress(c),
+			callers: local.Address(),
+			targets: local.Address(),
+			opers:   local.Address(),
 		}
 		p.file = filepath.Join(dir, p.name+".toml")
 		p.log = filepath.Join(dir, p.name+".log")
@@ -105,16 +105,19 @@
 		if err == nil && voters == 3 && len(cell.Instances) == 3 {
 			return all
 		}
-		c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("cell does not form: %v", err))
+		c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("cell does not form: %v\n%s", err, logsOf(all)))
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// logsOf returns what the processes have written.
+func logsOf(all []*process) string {
+	var b strings.Builder
+	for _, p := range all {
+		data, err := os.ReadFile(p.log)
+		fmt.Fprintf(&b, "%s (%v):\n%s", p.name, err, data)
+	}
+	return b.String()
 }
 
 func (p *process) start(form bool) {
--- a/internal/fake/cell.go
+++ b/internal/fake/cell.go
@@ -16,6 +16,7 @@
 	"github.com/jasmineward/jasmineward/internal/client"
 	"github.com/jasmineward/jasmineward/internal/config"
 	"github.com/jasmineward/jasmineward/internal/daemon"
+	"github.com/jasmineward/jasmineward/internal/local"
 	"github.com/jasmineward/jasmineward/internal/node"
 )
 
@@ -91,10 +92,7 @@
 }
 
 func (c *Cell) add(i int, disk bool) error {
-	address, err := freeAddress()
-	if err != nil {
-		return err
-	}
+	address := local.Address()
 	settings := config.Default()
 	settings.Name = fmt.Sprintf("instance-%d", i+1)
 	settings.Domain = c.cfg.Domains[i%len(c.cfg.Domains)]
@@ -122,15 +120,6 @@
 	return instance.Start(i == 0)
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // Start starts the instance, also after a Kill or Shutdown. The first
 // instance of a cell forms it.
 func (i *Instance) Start(form bool) error {
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -13,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
 
+	"github.com/jasmineward/jasmineward/internal/local"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
@@ -86,10 +86,7 @@
 	g := &testGroup{c: qt.New(t)}
 	var addresses []string
 	for range seeds + more {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		g.c.Assert(err, qt.IsNil)
-		addresses = append(addresses, listener.Addr().String())
-		g.c.Assert(listener.Close(), qt.IsNil)
+		addresses = append(addresses, local.Address())
 	}
 	for i, address := range addresses {
 		g.members = append(g.members, &member{cfg: Config{
--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
+	"github.com/jasmineward/jasmineward/internal/local"
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
@@ -258,14 +258,6 @@
 	return terms
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	address := listener.Addr().String()
-	c.Assert(listener.Close(), qt.IsNil)
-	return address
-}
-
 func newScene(t *testing.T, advice bool, names ...string) *scene {
 	c := qt.New(t)
 	log := logrus.New()
@@ -276,7 +268,7 @@
 		tickets: advice,
 		good:    map[string]string{},
 	}
-	address := freeAddress(c)
+	address := local.Address()
 	part, err := NewPart(group.Config{
 		Name:       "a",
 		Address:    address,
