--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -126,6 +126,8 @@
 	Filler  bool
 	Latency Millis
 	Lasting bool
+	// Movable runs may be stopped to run again elsewhere.
+	Movable bool
 }
 
 // Orders returns the runs that the target may hold.
@@ -167,6 +169,7 @@
 	o.Filler = step.Filler
 	o.Latency = step.Latency
 	o.Lasting = step.Lasting
+	o.Movable = !step.Lasting && !step.Gang
 	o.Wanted = task.State == TaskPlaced && task.Run == run && task.Target == id && !task.Evicted
 	return o
 }
@@ -239,41 +242,6 @@
 	return l.live[id] != nil
 }
 
-// Movable returns the placed tasks that may be stopped to run elsewhere when
-// their step has others to be compared with: neither lasting tasks nor gangs.
-func (l *Ledger) Movable() []TaskRef {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	var refs []TaskRef
-	for _, job := range l.live {
-		for k := range job.Occurrences {
-			for s := range job.Spec.Steps {
-				step := &job.Spec.Steps[s]
-				if step.Lasting || step.Gang || job.Occurrences[k].Rounds[s].Left == step.Count {
-					continue
-				}
-				refs = job.placed(refs, k, s)
-			}
-		}
-	}
-	return refs
-}
-
-// placed adds the step's placed tasks that are not being moved already.
-func (j *Job) placed(refs []TaskRef, occurrence, step int) []TaskRef {
-	for i, task := range j.Occurrences[occurrence].Rounds[step].Tasks {
-		if task.State == TaskPlaced && !task.Evicted {
-			refs = append(refs, TaskRef{
-				Job:        j.ID,
-				Occurrence: occurrence,
-				Step:       step,
-				Index:      i,
-			})
-		}
-	}
-	return refs
-}
-
 // Holds counts the runs that the target may hold.
 func (l *Ledger) Holds(id TargetID) int {
 	l.mu.RLock()
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -73,11 +73,28 @@
 	Targets []string
 }
 
+// Reason is why tasks of a step wait though its turn has come.
+type Reason string
+
+// Reasons to wait.
+const (
+	// WaitsLimit: the tenant has as much running as it may.
+	WaitsLimit Reason = "tenant-limit"
+	// WaitsAdvice: no target is known yet that the advisor calls good.
+	WaitsAdvice Reason = "advice"
+	// WaitsRoom: no target that may run the tasks has room for one.
+	WaitsRoom Reason = "room"
+	// WaitsTurn: more urgent work took all that one decision may place.
+	WaitsTurn Reason = "more-urgent-work"
+)
+
 // Decision is what a plan comes to.
 type Decision struct {
 	Groups    [][]graph.Spot
 	Tickets   map[graph.TaskRef]string
 	Questions []Question
+	// Waits tells of each step with tasks left over why they wait.
+	Waits map[StepKey]Reason
 }
 
 // round is a step whose turn has come, with tasks that wait.
@@ -124,6 +141,7 @@
 		used:    map[string]quota.Room{},
 	}
 	p.out.Tickets = map[graph.TaskRef]string{}
+	p.out.Waits = map[StepKey]Reason{}
 	rounds := p.rounds()
 	if len(rounds) == 0 {
 		return p.out
@@ -131,7 +149,8 @@
 	p.slots()
 	for _, r := range rounds {
 		if p.spots >= maxSpots {
-			break
+			p.out.Waits[r.key] = WaitsTurn
+			continue
 		}
 		p.placeRound(r)
 	}
@@ -284,6 +303,7 @@
 	if r.queue != nil && r.queue.Advice != nil {
 		advised = p.in.Advice(r.key)
 		if !p.advisable(r, advised) {
+			p.out.Waits[r.key] = p.reason(r, advised)
 			return
 		}
 	}
@@ -300,6 +320,7 @@
 		}
 		s := p.choose(r, ref, advised)
 		if s == nil {
+			p.out.Waits[r.key] = p.reason(r, advised)
 			if r.step.Gang {
 				p.undo(r, spots)
 				return
@@ -362,6 +383,17 @@
 	}
 }
 
+// reason returns why the round's next task can't be placed now.
+func (p *planner) reason(r *round, advised *Advised) Reason {
+	switch {
+	case !p.allowed(r):
+		return WaitsLimit
+	case r.queue != nil && r.queue.Advice != nil && (advised == nil || advised.Busy):
+		return WaitsAdvice
+	}
+	return WaitsRoom
+}
+
 // allowed tells whether the tenant's limit has place for one more task.
 func (p *planner) allowed(r *round) bool {
 	usage, tenant := p.in.View.Tenant(r.job.Tenant)
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -16,7 +16,7 @@
 
 const (
 	// holdSlack is how much later than its wait a renewal may be answered.
-	holdSlack = 500 * time.Millisecond
+	holdSlack = 300 * time.Millisecond
 	// retryHold is the pause after a renewal that failed.
 	retryHold = 60 * time.Millisecond
 	// idleCheck is how long a target without runs is left alone.
@@ -237,6 +237,7 @@
 	if len(listing.Ended) < listedEnds {
 		d.reconcile(sent, listing)
 	}
+	d.follow(listing)
 	d.pace(listing)
 	return nil
 }
@@ -255,7 +256,9 @@
 	case d.doubts():
 		order.Wait = min(order.Wait, doubtWait)
 	case d.watched:
-		order.Wait = min(order.Wait, pacedWait)
+		order.Wait = min(order.Wait, pacedWait, d.untilEnd(time.Now()))
+	default:
+		order.Wait = min(order.Wait, d.untilEnd(time.Now()))
 	}
 	d.mu.Unlock()
 	// Each renewal that may arrive puts the end of the lease off, so a target
--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -18,9 +19,16 @@
 
 // fakeRun is a run on a fake target.
 type fakeRun struct {
-	run   uint32
-	ends  time.Time
-	until time.Time
+	run     uint32
+	started time.Time
+	ends    time.Time
+	until   time.Time
+}
+
+// percent returns the run's progress now.
+func (r *fakeRun) percent() float64 {
+	whole := r.ends.Sub(r.started)
+	return math.Floor(100 * min(1, time.Since(r.started).Seconds()/whole.Seconds()))
 }
 
 // fakeTarget keeps the rules of a target: tokens, deadlines by its own clock,
@@ -37,6 +45,8 @@
 	silent   bool
 	// swallow has the next starts carried out late and without an answer.
 	swallow int
+	// lose has the next listings of ends lost on their way.
+	lose int
 }
 
 // fakeFleet is a port to fake targets in memory. It notes what breaks a
@@ -152,8 +162,9 @@
 	}
 	target.deadline = max(target.deadline, order.Deadline)
 	target.running[order.Task] = &fakeRun{
-		run:  order.Run,
-		ends: time.Now().Add(f.work),
+		run:     order.Run,
+		started: time.Now(),
+		ends:    time.Now().Add(f.work),
 	}
 	if order.Task == f.hang && order.Run == 1 {
 		target.running[order.Task].ends = time.Now().Add(time.Hour)
@@ -188,6 +199,12 @@
 		for len(target.ended) > 0 && target.ended[0].Seq <= order.Acked {
 			target.ended = target.ended[1:]
 		}
+		if len(target.ended) > 0 && target.lose > 0 {
+			target.lose--
+			f.mu.Unlock()
+			<-ctx.Done()
+			return Listing{}, ErrUnanswered
+		}
 		if len(target.ended) > 0 || time.Now().After(limit) {
 			listing := target.list()
 			f.mu.Unlock()
@@ -209,8 +226,9 @@
 			continue
 		}
 		listing.Running = append(listing.Running, Running{
-			Task: ref,
-			Run:  r.run,
+			Task:    ref,
+			Run:     r.run,
+			Percent: r.percent(),
 		})
 	}
 	return listing
@@ -259,6 +277,10 @@
 }
 
 func newScene(t *testing.T, advice bool, names ...string) *scene {
+	return newSceneWith(t, testTerms(), advice, names...)
+}
+
+func newSceneWith(t *testing.T, terms Terms, advice bool, names ...string) *scene {
 	c := qt.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -279,7 +301,7 @@
 		Election:   200 * time.Millisecond,
 		Heartbeat:  40 * time.Millisecond,
 		Replace:    time.Minute,
-	}, testTerms(), fleet, fleet, log)
+	}, terms, fleet, fleet, log)
 	c.Assert(err, qt.IsNil)
 	c.Assert(part.Run(), qt.IsNil)
 	t.Cleanup(part.Stop)
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -26,10 +26,6 @@
 	// maxProposing bounds the decisions that are on their way into the log.
 	maxProposing = 3
 	upkeepEvery  = 100 * time.Millisecond
-	stallEvery   = 300 * time.Millisecond
-	// stallTimes is how many times as long as its siblings a task runs when
-	// it is taken to stand still.
-	stallTimes = 2.5
 )
 
 // Terms are the times of the leases that targets get.
@@ -77,6 +73,7 @@
 	advice  *advice
 
 	rater *rating.Rater[plan.StepKey, graph.TargetID]
+	waits *waits
 
 	mu sync.Mutex
 	// pending are placements on their way into the log; proposing counts
@@ -106,6 +103,7 @@
 		started: time.Now(),
 		wake:    make(chan struct{}, 1),
 		rater:   rating.NewRater[plan.StepKey, graph.TargetID](),
+		waits:   newWaits(p.log.WithField("term", term)),
 		pending: map[graph.TaskRef]graph.TargetID{},
 
 		admittedAt: map[graph.JobID]time.Time{},
@@ -128,7 +126,6 @@
 	}
 	l.goRun(l.decideAll)
 	l.goRun(l.upkeep)
-	l.goRun(l.watchStalls)
 }
 
 func (l *leader) goRun(run func()) {
@@ -232,6 +229,7 @@
 		})
 	})
 	since(l.part.metrics.decide, now)
+	l.waits.note(now, d.Waits)
 	for _, q := range d.Questions {
 		l.advice.ask(q)
 	}
@@ -392,31 +390,3 @@
 		}
 	}
 }
-
-// watchStalls moves tasks that stand still: those that have run for several
-// times as long as the longest of their siblings.
-func (l *leader) watchStalls() {
-	for group.Pause(l.ctx, stallEvery) {
-		var stalled []graph.TaskRef
-		for _, ref := range l.part.ledger.Movable() {
-			if l.rater.Stalled(stepOf(ref), ref.Index, stallTimes, time.Now()) {
-				stalled = append(stalled, ref)
-			}
-		}
-		if len(stalled) == 0 {
-			continue
-		}
-		for _, ref := range stalled {
-			l.rater.Failed(stepOf(ref), ref.Index)
-			l.log.WithFields(logrus.Fields{
-				"job":  ref.Job,
-				"task": ref.Name(),
-			}).Warn("sched: task stands still, it is moved")
-		}
-		if _, fault := l.propose(l.ctx, graph.Command{Evict: &graph.Evict{Tasks: stalled}}); fault != nil {
-			l.log.WithField("fault", fault.Error()).Warn("sched: eviction not committed")
-			continue
-		}
-		l.stopUnwanted()
-	}
-}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -31,7 +31,7 @@
 		state := d.sendStart(key, ticket)
 		d.mark(key, state)
 		if state == runStarted {
-			d.leader.rater.Started(stepOf(key.task), key.task.Index, d.target.ID, time.Now())
+			d.started(key)
 		}
 		d.poke()
 		if state == runAbsent {
@@ -40,6 +40,19 @@
 	})
 }
 
+// started notes when a run began. One without a checkpoint has done nothing
+// yet, which is its first report of progress.
+func (d *driver) started(key runKey) {
+	now := time.Now()
+	d.leader.rater.Started(stepOf(key.task), key.task.Index, d.target.ID, now)
+	if d.leader.part.ledger.OrderOf(d.target.ID, key.task, key.run).Saved != "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known(key).track.Begin(now)
+}
+
 func stepOf(ref graph.TaskRef) plan.StepKey {
 	return plan.StepKey{
 		Job:        ref.Job,
--- a/internal/push/port.go
+++ b/internal/push/port.go
@@ -55,6 +55,9 @@
 	Task  graph.TaskRef
 	Run   uint32
 	Saved string
+	// Percent is how much of its work is done; a lasting task is at work from
+	// 100 on.
+	Percent float64
 	// Load is the tail response time in milliseconds of a task with a
 	// latency, and for others the thousandths of a core in use.
 	Load int64
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -226,6 +226,23 @@
 	s.never()
 }
 
+// Pattern: answers of targets get lost. A task's end is known soon after it
+// should have come, not only once a whole renewal has run out of time.
+func TestLostListingIsMissedSoon(t *testing.T) {
+	terms := testTerms()
+	terms.Wait = 1500 * time.Millisecond
+	s := newSceneWith(t, terms, false, "w0")
+	s.fleet.work = 900 * time.Millisecond
+	s.fleet.read(func() { s.fleet.targets["w0"].lose = 1 })
+	s.submit("a", tasks(1))
+	began := time.Now()
+	s.eventually(patience, "job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	s.c.Assert(time.Since(began) < s.fleet.work+600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	s.never()
+}
+
 // Metrics tell what the leader did, and name no job, tenant or target.
 func TestMetrics(t *testing.T) {
 	s := newScene(t, true, "w0")
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/pkg/finish"
 	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
@@ -40,6 +41,9 @@
 	// percent is the pace ordered last; pacing tells of one on its way.
 	percent int
 	pacing  bool
+	track   finish.Track
+	// settled runs have no end that is worth waiting for.
+	settled bool
 }
 
 // reconcile compares what the target should hold with what it listed on a
--- /dev/null
+++ b/pkg/finish/finish_test.go
@@ -0,0 +1,88 @@
+package finish_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/pkg/finish"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+// after returns the time so many milliseconds after the start.
+func after(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func ExampleTrack() {
+	var t finish.Track
+	t.Note(after(200), 10)
+	t.Note(after(400), 30)
+	done, _ := t.Done()
+	fmt.Println(done.Sub(start))
+	// Output: 1.1s
+}
+
+// TestLittleIsKnown is a task whose reports are too close to tell a speed.
+func TestLittleIsKnown(t *testing.T) {
+	c := qt.New(t)
+	var track finish.Track
+	_, known := track.Done()
+	c.Check(known, qt.IsFalse)
+	track.Note(after(100), 20)
+	track.Note(after(150), 24)
+	_, known = track.Done()
+	c.Check(known, qt.IsFalse)
+}
+
+// TestStandsStill is a task that works, stands still, and works on.
+func TestStandsStill(t *testing.T) {
+	c := qt.New(t)
+	const least, times = 500 * time.Millisecond, 4
+	var track finish.Track
+	track.Note(after(0), 10)
+	track.Note(after(300), 40)
+	c.Check(track.Stands(least, times), qt.IsFalse)
+	track.Note(after(700), 40)
+	c.Check(track.Stands(least, times), qt.IsFalse)
+	track.Note(after(900), 40)
+	c.Check(track.Stands(least, times), qt.IsTrue)
+	track.Note(after(1000), 41)
+	c.Check(track.Stands(least, times), qt.IsFalse)
+}
+
+// TestSlowIsNotStill is a task that takes 400 ms for each percent.
+func TestSlowIsNotStill(t *testing.T) {
+	c := qt.New(t)
+	var track finish.Track
+	for i := range 20 {
+		track.Note(after(i*200), float64(i/2))
+		c.Check(track.Stands(300*time.Millisecond, 4), qt.IsFalse)
+	}
+}
+
+// TestNeverMoves is a task that makes no progress from its start.
+func TestNeverMoves(t *testing.T) {
+	var track finish.Track
+	track.Note(after(0), 0)
+	track.Note(after(800), 0)
+	qt.Check(t, track.Stands(700*time.Millisecond, 4), qt.IsTrue)
+}
+
+// TestStartsAnew is a task whose progress falls back, as after a restart.
+func TestStartsAnew(t *testing.T) {
+	c := qt.New(t)
+	var track finish.Track
+	track.Note(after(0), 50)
+	track.Note(after(500), 80)
+	track.Note(after(1000), 0)
+	_, known := track.Done()
+	c.Check(known, qt.IsFalse)
+	track.Note(after(1500), 50)
+	done, known := track.Done()
+	c.Check(known, qt.IsTrue)
+	c.Check(done, qt.Equals, after(2000))
+}
