--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -1,11 +1,15 @@
 package plan
 
 import (
-	"sort"
+	"time"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
+// maxQuestions bounds the questions of one decision, which comes before the
+// next by milliseconds only.
+const maxQuestions = 16
+
 // advisable tells whether there is advice to place the round by. If not, or
 // if too little of it is left, it asks.
 func (p *planner) advisable(r *round, advised *Advised) bool {
@@ -44,58 +48,61 @@
 	return n
 }
 
-// ask names the targets with the most room: first those known to be good,
-// whose tickets have run out, then those not asked about yet.
+// ask names targets to ask about: first those known to be good whose tickets
+// have run out, then those with the most room that were not asked about yet.
 func (p *planner) ask(r *round, advised *Advised, missing int) {
-	type option struct {
-		id     string
-		known  bool
-		copies int
-	}
-	var options []option
-	for _, s := range p.targets[p.in.View.ServiceOf(r.job)] {
-		id := s.target.ID.ID
-		n := p.copies(r, s)
-		if n == 0 || !s.target.Has(r.step.Label) {
-			continue
-		}
-		o := option{
-			id:     id,
-			copies: n,
-		}
-		if advised != nil {
-			ticket, good := advised.Good[id]
-			if advised.Asked[id] && !good || good && ticket.Until.Sub(p.in.Now) >= ticketSlack {
-				continue
-			}
-			o.known = good
-		}
-		options = append(options, o)
+	if len(p.out.Questions) >= maxQuestions {
+		return
 	}
-	sort.SliceStable(options, func(i, j int) bool {
-		if options[i].known != options[j].known {
-			return options[i].known
-		}
-		return options[i].copies > options[j].copies
-	})
 	q := Question{
 		Step:  r.key,
 		Queue: *r.queue,
 	}
+	if !p.mayAsk(q.Queue.Advice.Base + leastAsked*q.Queue.Advice.Each) {
+		return
+	}
 	wanted := spareRoom * float64(missing)
+	if advised != nil {
+		for id, ticket := range advised.Good {
+			if s := p.byID[id]; s != nil && ticket.Until.Sub(p.in.Now) < ticketSlack {
+				wanted -= p.name(&q, r, s, 1)
+			}
+		}
+	}
 	share := p.in.Share(r.queue.Name)
-	for _, o := range options {
+	for _, s := range p.roomiest(p.in.View.ServiceOf(r.job)) {
 		if len(q.Targets) >= mostAsked || wanted <= 0 && len(q.Targets) >= leastAsked {
 			break
 		}
-		q.Targets = append(q.Targets, o.id)
-		part := share
-		if o.known {
-			part = 1
+		if advised == nil || !advised.Asked[s.target.ID.ID] {
+			wanted -= p.name(&q, r, s, share)
 		}
-		wanted -= part * float64(o.copies)
 	}
 	if len(q.Targets) > 0 {
 		p.out.Questions = append(p.out.Questions, q)
 	}
 }
+
+// mayAsk tells whether a call that takes so long could be made soon. Where one
+// could not, none that takes longer could.
+func (p *planner) mayAsk(cost time.Duration) bool {
+	if p.tooLong > 0 && cost >= p.tooLong {
+		return false
+	}
+	if p.in.MayAsk(cost) {
+		return true
+	}
+	p.tooLong = cost
+	return false
+}
+
+// name adds the target to the question, if it has room for the round, and
+// returns how many tasks it should take when it is good with the chance.
+func (p *planner) name(q *Question, r *round, s *slot, chance float64) float64 {
+	n := p.copies(r, s)
+	if n == 0 || len(q.Targets) >= mostAsked || !s.target.Has(r.step.Label) {
+		return 0
+	}
+	q.Targets = append(q.Targets, s.target.ID.ID)
+	return chance * float64(n)
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -60,6 +60,9 @@
 	Share func(queue string) float64
 	// Usable tells whether the target answers.
 	Usable func(graph.TargetID) bool
+	// MayAsk tells whether a call for advice that takes so long could be made
+	// soon.
+	MayAsk func(cost time.Duration) bool
 	// Pending are placements that are on their way into the log.
 	Pending map[graph.TaskRef]graph.TargetID
 	// Speed is how fast the target works; 1 is usual.
@@ -117,6 +120,10 @@
 	targets map[string][]*slot
 	byID    map[string]*slot
 	used    map[string]quota.Room
+	// sorted are the services whose targets are in the order of their room.
+	sorted map[string]bool
+	// tooLong is the shortest call for advice that could not be made.
+	tooLong time.Duration
 	out     Decision
 	spots   int
 }
@@ -127,7 +134,15 @@
 	free   quota.Room
 	placed map[StepKey]int
 	speed  float64
-	// serves and fills count lasting tasks with a latency, and filler tasks.
+	// roomy is the dominant share that was free at the start.
+	roomy float64
+	// beside counts what runs there already; it is nil until it is needed.
+	beside *beside
+}
+
+// beside counts the lasting tasks with a latency on a target, and the filler
+// tasks.
+type beside struct {
 	serves int
 	fills  int
 }
@@ -139,6 +154,7 @@
 		targets: map[string][]*slot{},
 		byID:    map[string]*slot{},
 		used:    map[string]quota.Room{},
+		sorted:  map[string]bool{},
 	}
 	p.out.Tickets = map[graph.TaskRef]string{}
 	p.out.Waits = map[StepKey]Reason{}
@@ -254,23 +270,56 @@
 		s := &slot{
 			target: t,
 			free:   t.Free(),
-			placed: map[StepKey]int{},
 			speed:  p.in.Speed(id),
 		}
-		for ref, held := range t.Runs {
-			if held.Filler {
-				s.fills++
-			} else if job := p.in.View.Jobs()[ref.Job]; job != nil && job.Spec.Steps[ref.Step].Latency > 0 {
-				s.serves++
-			}
-		}
 		p.targets[t.Service] = append(p.targets[t.Service], s)
 		p.byID[id.ID] = s
 	}
 	p.reserve()
-	for _, slots := range p.targets {
-		sort.Slice(slots, func(i, j int) bool { return slots[i].target.ID.ID < slots[j].target.ID.ID })
+}
+
+// roomiest returns the targets of the service, those with the most room at the
+// start of the decision first.
+func (p *planner) roomiest(service string) []*slot {
+	slots := p.targets[service]
+	if p.sorted[service] {
+		return slots
+	}
+	p.sorted[service] = true
+	for _, s := range slots {
+		s.roomy = s.free.Dominant(s.target.Capacity)
+	}
+	sort.Slice(slots, func(i, j int) bool {
+		if slots[i].roomy != slots[j].roomy {
+			return slots[i].roomy > slots[j].roomy
+		}
+		return slots[i].target.ID.ID < slots[j].target.ID.ID
+	})
+	return slots
+}
+
+// neighbours returns what runs on the target already.
+func (p *planner) neighbours(s *slot) *beside {
+	if s.beside != nil {
+		return s.beside
+	}
+	s.beside = &beside{}
+	for ref, held := range s.target.Runs {
+		if held.Filler {
+			s.beside.fills++
+		} else if job := p.in.View.Jobs()[ref.Job]; job != nil && job.Spec.Steps[ref.Step].Latency > 0 {
+			s.beside.serves++
+		}
+	}
+	return s.beside
+}
+
+// count notes more tasks of the step on the target.
+func (s *slot) count(key StepKey, more int) {
+	if s.placed == nil {
+		s.placed = map[StepKey]int{}
 	}
+	s.placed[key] += more
 }
 
 // reserve takes the room of placements that are on their way.
@@ -284,7 +333,7 @@
 		p.used[job.Tenant] = p.used[job.Tenant].Add(step.Room)
 		if s := p.byID[id.ID]; s != nil {
 			s.free = s.free.Sub(step.Takes())
-			s.placed[keyOf(ref)]++
+			s.count(keyOf(ref), 1)
 		}
 	}
 }
@@ -361,12 +410,12 @@
 
 func (p *planner) take(r *round, s *slot, advised *Advised, ref graph.TaskRef) {
 	s.free = s.free.Sub(r.step.Takes())
-	s.placed[r.key]++
+	s.count(r.key, 1)
 	p.used[r.job.Tenant] = p.used[r.job.Tenant].Add(r.step.Room)
 	if r.step.Filler {
-		s.fills++
+		p.neighbours(s).fills++
 	} else if r.step.Latency > 0 {
-		s.serves++
+		p.neighbours(s).serves++
 	}
 	if advised != nil {
 		p.out.Tickets[ref] = advised.Good[s.target.ID.ID].Value
@@ -377,7 +426,7 @@
 	for _, spot := range spots {
 		s := p.byID[spot.Target.ID]
 		s.free = s.free.Add(r.step.Takes())
-		s.placed[r.key]--
+		s.count(r.key, -1)
 		p.used[r.job.Tenant] = p.used[r.job.Tenant].Sub(r.step.Room)
 		delete(p.out.Tickets, spot.Task)
 	}
@@ -427,7 +476,7 @@
 func (p *planner) candidates(r *round, advised *Advised) []*slot {
 	service := p.in.View.ServiceOf(r.job)
 	if advised == nil {
-		return p.targets[service]
+		return p.roomiest(service)
 	}
 	if r.good != nil {
 		return r.good
@@ -476,10 +525,10 @@
 	if r.step.Tight && s.placed[r.key] > 0 {
 		score += 4
 	}
-	if r.step.Filler && s.serves > 0 {
+	if r.step.Filler && p.neighbours(s).serves > 0 {
 		score -= 8
 	}
-	if r.step.Latency > 0 && s.fills > 0 {
+	if r.step.Latency > 0 && p.neighbours(s).fills > 0 {
 		score -= 8
 	}
 	return score - s.free.Dominant(s.target.Capacity)
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -17,6 +17,8 @@
 	ledger *graph.Ledger
 	advice map[StepKey]*Advised
 	now    time.Time
+	// deaf tells that the advisor can't be asked.
+	deaf bool
 }
 
 func newSite(targets int, limit quota.Room) *site {
@@ -93,6 +95,7 @@
 			Now:    s.now,
 			Advice: func(key StepKey) *Advised { return s.advice[key] },
 			Share:  func(string) float64 { return 0.5 },
+			MayAsk: func(time.Duration) bool { return !s.deaf },
 			Usable: func(graph.TargetID) bool { return true },
 			Speed:  func(graph.TargetID) float64 { return 1 },
 		})
@@ -222,3 +225,38 @@
 	c.Assert(d.Groups, qt.HasLen, 0)
 	c.Assert(d.Questions[0].Targets[0], qt.Equals, "w01")
 }
+
+// Pattern: a burst of steps while the advisor has no time. Decisions don't pile
+// questions up that nobody can put.
+func TestNoQuestionsForABusyAdvisor(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(30, quota.Room{})
+	for i := range 100 {
+		s.submit("advised", graph.JobID(fmt.Sprint(i)), step(2, 2000))
+	}
+	s.deaf = true
+	c.Check(s.decide().Questions, qt.HasLen, 0)
+	s.deaf = false
+	c.Check(s.decide().Questions, qt.HasLen, maxQuestions)
+}
+
+// TestWaits tells why tasks wait whose turn has come.
+func TestWaits(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(1, quota.Room{CPU: 6000})
+	s.submit("urgent", "a", step(4, 2000))
+	s.submit("advised", "b", step(1, 1000))
+	d := s.decide()
+	c.Check(d.Waits, qt.DeepEquals, map[StepKey]Reason{
+		{Job: "a"}: WaitsLimit,
+		{Job: "b"}: WaitsLimit,
+	})
+	s = newSite(1, quota.Room{})
+	s.submit("urgent", "a", step(5, 2000))
+	s.submit("advised", "b", step(1, 1000))
+	d = s.decide()
+	c.Check(d.Waits, qt.DeepEquals, map[StepKey]Reason{
+		{Job: "a"}: WaitsRoom,
+		{Job: "b"}: WaitsAdvice,
+	})
+}
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -112,10 +112,29 @@
 	return q.Queue.Advice.Base + time.Duration(len(q.Targets))*q.Queue.Advice.Each
 }
 
+// mayAsk tells whether a call that takes so long would be made now.
+func (a *advice) mayAsk(cost time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.free(cost, time.Now()) != ""
+}
+
 // pick returns the instance that is through with its calls first, and how
 // long a call to it should take. It returns "" when all are busy for long.
 func (a *advice) pick(cost time.Duration) (string, time.Duration) {
 	now := time.Now()
+	best := a.free(cost, now)
+	if best == "" {
+		return "", 0
+	}
+	node := a.nodes[best]
+	node.until = node.until.Add(cost)
+	return best, node.until.Sub(now)
+}
+
+// free returns the instance that is through with its calls first, or "" when
+// all are busy for long.
+func (a *advice) free(cost time.Duration, now time.Time) string {
 	addresses := a.leader.part.host.Nodes(nodeWithin)
 	sort.Strings(addresses)
 	best := ""
@@ -137,11 +156,9 @@
 		}
 	}
 	if best == "" || a.nodes[best].until.Sub(now) > maxBacklog {
-		return "", 0
+		return ""
 	}
-	node := a.nodes[best]
-	node.until = node.until.Add(cost)
-	return best, node.until.Sub(now)
+	return best
 }
 
 func (a *advice) call(q plan.Question, address string, wait time.Duration) {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -197,10 +197,12 @@
 		case <-l.wake:
 		case <-ticker.C:
 		}
+		began := time.Now()
 		if l.mayOrder() {
 			l.decide()
 		}
-		if !group.Pause(l.ctx, decideGap) {
+		// Decisions leave at least half of the time to all else.
+		if !group.Pause(l.ctx, max(decideGap, time.Since(began))) {
 			return
 		}
 	}
@@ -223,6 +225,7 @@
 			Now:     now,
 			Advice:  l.advice.of,
 			Share:   l.advice.share,
+			MayAsk:  l.advice.mayAsk,
 			Usable:  l.usable,
 			Pending: pending,
 			Speed:   l.rater.Speed,
