--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -1,6 +1,9 @@
 package plan
 
 import (
+	"fmt"
+	"hash/fnv"
+	"iter"
 	"time"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
@@ -70,7 +73,7 @@
 		}
 	}
 	share := p.in.Share(r.queue.Name)
-	for _, s := range p.roomiest(p.in.View.ServiceOf(r.job)) {
+	for s := range p.fromOwnPlace(r) {
 		if len(q.Targets) >= mostAsked || wanted <= 0 && len(q.Targets) >= leastAsked {
 			break
 		}
@@ -83,6 +86,32 @@
 	}
 }
 
+// fromOwnPlace goes through the targets of the round's service: the half with
+// more room first, from a place in it that differs by step. Steps that ask at
+// the same time so get different answers, and do not take each other's room.
+func (p *planner) fromOwnPlace(r *round) iter.Seq[*slot] {
+	slots := p.roomiest(p.in.View.ServiceOf(r.job))
+	half := (len(slots) + 1) / 2
+	start := int(r.key.hash() % uint64(max(half, 1)))
+	return func(yield func(*slot) bool) {
+		for i, s := range slots {
+			if i < half {
+				s = slots[(start+i)%half]
+			}
+			if !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// hash spreads steps evenly.
+func (k StepKey) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, k.Job, k.Occurrence, k.Step)
+	return h.Sum64()
+}
+
 // mayAsk tells whether a call that takes so long could be made soon. Where one
 // could not, none that takes longer could.
 func (p *planner) mayAsk(cost time.Duration) bool {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -260,3 +260,26 @@
 		{Job: "b"}: WaitsAdvice,
 	})
 }
+
+// Pattern: many small steps come at the same time. They ask about different
+// targets, or all but the first would find the room of their answers taken.
+func TestStepsAskAboutDifferentTargets(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(60, quota.Room{})
+	const steps = 12
+	for i := range steps {
+		s.submit("advised", graph.JobID(fmt.Sprint(i)), step(2, 4000))
+	}
+	asked := map[string]int{}
+	for _, q := range s.decide().Questions {
+		for _, id := range q.Targets {
+			asked[id]++
+		}
+	}
+	most := 0
+	for _, n := range asked {
+		most = max(most, n)
+	}
+	c.Check(len(asked) > 20, qt.IsTrue, qt.Commentf("%d targets", len(asked)))
+	c.Check(most < steps, qt.IsTrue)
+}
