--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -23,6 +23,9 @@
 	hasty = 4.0
 	// sound is the speed below which a target is avoided by all.
 	sound = 0.6
+	// urgentPart is the part of a tenant's limit that is kept for its urgent
+	// work while it has some.
+	urgentPart = 0.2
 	// ticketSlack is how long a ticket must still last for a start.
 	ticketSlack = 300 * time.Millisecond
 )
@@ -120,6 +123,8 @@
 	targets map[string][]*slot
 	byID    map[string]*slot
 	used    map[string]quota.Room
+	// urgent are the tenants that have urgent work, waiting or running.
+	urgent map[string]bool
 	// sorted are the services whose targets are in the order of their room.
 	sorted map[string]bool
 	// tooLong is the shortest call for advice that could not be made.
@@ -154,6 +159,7 @@
 		targets: map[string][]*slot{},
 		byID:    map[string]*slot{},
 		used:    map[string]quota.Room{},
+		urgent:  map[string]bool{},
 		sorted:  map[string]bool{},
 	}
 	p.out.Tickets = map[graph.TaskRef]string{}
@@ -177,6 +183,9 @@
 func (p *planner) rounds() []*round {
 	var all []*round
 	for _, job := range p.in.View.Jobs() {
+		if queue := p.in.View.QueueOf(job); queue != nil && queue.Priority == 0 {
+			p.urgent[job.Tenant] = true
+		}
 		if job.Waiting == 0 {
 			continue
 		}
@@ -450,7 +459,21 @@
 		return true
 	}
 	sum := usage.Add(p.used[r.job.Tenant]).Add(r.step.Room)
-	return graph.Within(sum, tenant.Limit)
+	return graph.Within(sum, p.limitFor(r, tenant))
+}
+
+// limitFor returns how much of the tenant's limit the round may fill. A part
+// is kept for the tenant's urgent work, which would otherwise wait behind its
+// own batch work for much longer than it takes itself.
+func (p *planner) limitFor(r *round, tenant *graph.Tenant) quota.Room {
+	if r.priority == 0 || r.step.Gang || !p.urgent[r.job.Tenant] {
+		return tenant.Limit
+	}
+	part := tenant.Limit.Scale(1 - urgentPart)
+	if !graph.Within(r.step.Room, part) {
+		return tenant.Limit
+	}
+	return part
 }
 
 // choose returns the target for a task, or nil.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -283,3 +283,40 @@
 	c.Check(len(asked) > 20, qt.IsTrue, qt.Commentf("%d targets", len(asked)))
 	c.Check(most < steps, qt.IsTrue)
 }
+
+// Pattern: a tenant's batch work comes in a wave, and its urgent work between.
+// Batch work leaves a part of the tenant's limit free while there is urgent
+// work, but uses all of it while there is none.
+func TestBatchLeavesLimitForUrgentWork(t *testing.T) {
+	c := qt.New(t)
+	limit := quota.Room{CPU: 10_000}
+	s := newSite(10, limit)
+	s.submit("batch", "b", step(10, 1000))
+	c.Check(s.decide().Groups, qt.HasLen, 10)
+	s.submit("urgent", "u", step(1, 1000))
+	s.commit(s.decide())
+	s.submit("urgent", "v", step(2, 1000))
+	d := s.decide()
+	c.Assert(d.Groups, qt.HasLen, 2)
+	for i, refusal := range s.commit(d) {
+		c.Check(refusal, qt.Equals, graph.Refusal(""))
+		c.Check(d.Groups[i][0].Task.Job, qt.Equals, graph.JobID("v"))
+	}
+}
+
+// Pattern: a single task takes nearly all that its tenant may have. It runs
+// once nothing else does.
+func TestTaskAsLargeAsTheLimit(t *testing.T) {
+	s := newSite(1, quota.Room{CPU: 7000})
+	s.submit("urgent", "u", step(1, 7000))
+	s.submit("batch", "b", step(1, 7000))
+	s.commit(s.decide())
+	s.ledger.Apply(graph.Command{Events: &graph.Events{Ends: []graph.End{{
+		Target: graph.TargetID{ID: "w00"},
+		Task:   graph.TaskRef{Job: "u"},
+		Run:    1,
+		How:    graph.HowDone,
+	}}}})
+	s.submit("urgent", "v", step(1, 9000))
+	qt.Check(t, s.decide().Groups, qt.HasLen, 1)
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// Scale returns r multiplied by part, rounded towards zero.
+func (r Room) Scale(part float64) Room {
+	return Room{
+		CPU:          MilliCPU(float64(r.CPU) * part),
+		Memory:       MiB(float64(r.Memory) * part),
+		Accelerators: int64(float64(r.Accelerators) * part),
+	}
+}
+
 // Fits tells whether r is at most o in every component.
 func (r Room) Fits(o Room) bool {
 	return r.CPU <= o.CPU && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
