--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -22,7 +22,9 @@
 const (
 	proposeTimeout = 4 * time.Second
 	// decideGap is the least time between two decisions.
-	decideGap = 2 * time.Millisecond
+	decideGap = 4 * time.Millisecond
+	// decideParts is how much longer than a decision the pause after it is.
+	decideParts = 3
 	// maxProposing bounds the decisions that are on their way into the log.
 	maxProposing = 3
 	upkeepEvery  = 100 * time.Millisecond
@@ -201,8 +203,7 @@
 		if l.mayOrder() {
 			l.decide()
 		}
-		// Decisions leave at least half of the time to all else.
-		if !group.Pause(l.ctx, max(decideGap, time.Since(began))) {
+		if !group.Pause(l.ctx, max(decideGap, decideParts*time.Since(began))) {
 			return
 		}
 	}
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -14,7 +14,9 @@
 	defaultHeartbeat  = 80 * time.Millisecond
 	defaultBatchBytes = 1 << 20
 	defaultWindow     = 8192
-	snapshotTimeout   = 30 * time.Second
+	// preVoteParts is how many pre-votes fit into an election timeout.
+	preVoteParts    = 4
+	snapshotTimeout = 30 * time.Second
 	// driftParts is the part of the election timeout, one in so many, that
 	// a leader's lease gives away to the drift of two clocks.
 	driftParts = 10
@@ -280,6 +282,7 @@
 	}
 	c.resetElection()
 	if c.isVoter(c.cfg.ID) {
+		c.askAgain()
 		c.preCampaign()
 	}
 }
@@ -433,6 +436,14 @@
 	c.electionAt = c.now + c.cfg.Election + spread
 }
 
+// askAgain has the next pre-vote come soon. One is mostly refused because the
+// others' promise to the old leader ends some milliseconds later; it changes
+// no state, so it may be repeated.
+func (c *Core) askAgain() {
+	least := c.cfg.Election / preVoteParts
+	c.electionAt = c.now + least + time.Duration(c.rand.Int64N(int64(least)))
+}
+
 // promised tells whether the replica has lately answered a live leader, to
 // which it owes not to vote for another.
 func (c *Core) promised() bool {
