--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -25,30 +25,31 @@
 			}
 		}
 	}
-	waiting := 0
-	for i := range r.tasks {
-		if _, pending := p.in.Pending[r.ref(i)]; !pending && r.tasks[i].State == graph.TaskWaiting {
-			waiting++
-		}
-	}
+	waiting := p.waiting(r)
 	if room < waiting && (advised == nil || !advised.Busy) && p.allowed(r) {
 		p.ask(r, advised, waiting-room)
 	}
 	return room > 0
 }
 
+// waiting counts the round's tasks that are neither placed nor about to be.
+func (p *planner) waiting(r *round) int {
+	n := 0
+	for i := range r.tasks {
+		if _, pending := p.in.Pending[r.ref(i)]; !pending && r.tasks[i].State == graph.TaskWaiting {
+			n++
+		}
+	}
+	return n
+}
+
 // copies returns how many more tasks of the round the target may take.
 func (p *planner) copies(r *round, s *slot) int {
 	most := r.step.Count
 	if r.step.Spread > 0 {
 		most = r.step.Spread - s.target.CountOf(r.ref(0)) - s.placed[r.key]
 	}
-	n := 0
-	takes := r.step.Takes()
-	for left := s.free; n < most && takes.Fits(left); left = left.Sub(takes) {
-		n++
-	}
-	return n
+	return min(most, r.step.Takes().Copies(s.free))
 }
 
 // ask names targets to ask about: first those known to be good whose tickets
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -3,6 +3,8 @@
 // which teams are compared when the fleet is full.
 package quota
 
+import "math"
+
 // MilliCPU is an amount of processor time in thousandths of a core.
 type MilliCPU int64
 
@@ -57,6 +59,25 @@
 	return r.CPU <= o.CPU && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
 }
 
+// Copies returns how many times r fits into o. Nothing fits without bound, and
+// counts as math.MaxInt32.
+func (r Room) Copies(o Room) int {
+	n := int64(math.MaxInt32)
+	if r.CPU > 0 {
+		n = min(n, int64(o.CPU/r.CPU))
+	}
+	if r.Memory > 0 {
+		n = min(n, int64(o.Memory/r.Memory))
+	}
+	if r.Accelerators > 0 {
+		n = min(n, o.Accelerators/r.Accelerators)
+	}
+	if !(Room{}).Fits(o) {
+		return 0
+	}
+	return int(n)
+}
+
 // IsZero tells whether no component is set.
 func (r Room) IsZero() bool {
 	return r == Room{}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -18,3 +18,26 @@
 	fmt.Println(used.Dominant(fleet), used.Times(2).Fits(fleet), used.Times(3).Fits(fleet))
 	// Output: 0.5 true false
 }
+
+func TestCopies(t *testing.T) {
+	c := qt.New(t)
+	room := quota.Room{
+		CPU:    7000,
+		Memory: 100,
+	}
+	c.Check(quota.Room{CPU: 2000}.Copies(room), qt.Equals, 3)
+	c.Check(quota.Room{CPU: 2000, Memory: 60}.Copies(room), qt.Equals, 1)
+	c.Check(quota.Room{Accelerators: 1}.Copies(room), qt.Equals, 0)
+	c.Check(quota.Room{Memory: 10}.Copies(quota.Room{CPU: -1, Memory: 50}), qt.Equals, 0)
+}
+
+func TestScale(t *testing.T) {
+	got := quota.Room{
+		CPU:          1001,
+		Accelerators: 3,
+	}.Scale(0.5)
+	qt.Check(t, got, qt.Equals, quota.Room{
+		CPU:          500,
+		Accelerators: 1,
+	})
+}
