Place a step by speed and fullness again: a weight for few targets did not pay

Tried: a weight of 1.0 for targets with room for all of a step, so that fewer steps meet each bad target.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -21,8 +21,6 @@
 	spareRoom  = 3.0
 	// hasty is the weight of a target's speed for the most urgent work.
 	hasty = 4.0
-	// together is the weight of a target having room for all of a step.
-	together = 1.0
 	// sound is the speed below which a target is avoided by all.
 	sound = 0.6
 	// urgentPart is the part of a tenant's limit that is kept for its urgent
@@ -368,7 +366,6 @@
 		}
 	}
 	var spots []graph.Spot
-	waiting := p.waiting(r)
 	var run uint32
 	for i := range r.tasks {
 		run = max(run, r.tasks[i].Run+1)
@@ -379,7 +376,7 @@
 		if _, pending := p.in.Pending[ref]; pending || task.State != graph.TaskWaiting || task.Held > 0 {
 			continue
 		}
-		s := p.choose(r, ref, advised, waiting-len(spots))
+		s := p.choose(r, ref, advised)
 		if s == nil {
 			p.out.Waits[r.key] = p.reason(r, advised)
 			if r.step.Gang {
@@ -480,8 +477,7 @@
 }
 
 // choose returns the target for a task, or nil.
-// left counts the tasks of the round that are still to be placed.
-func (p *planner) choose(r *round, ref graph.TaskRef, advised *Advised, left int) *slot {
+func (p *planner) choose(r *round, ref graph.TaskRef, advised *Advised) *slot {
 	if !p.allowed(r) {
 		return nil
 	}
@@ -491,7 +487,7 @@
 		if !p.fits(r, ref, s, advised) {
 			continue
 		}
-		if score := p.score(r, s, left); best == nil || score > bestScore {
+		if score := p.score(r, s); best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -543,10 +539,9 @@
 }
 
 // score rates a target that fits: fast ones, near the data, beside alike
-// work, with room for more of the step, so that few targets can hold it up, and
-// of these the fullest, so that wide tasks still find room.
-func (p *planner) score(r *round, s *slot, left int) float64 {
-	score := r.haste(s.speed) + together*float64(min(p.copies(r, s), left))/float64(left)
+// work, and of these the fullest, so that wide tasks still find room.
+func (p *planner) score(r *round, s *slot) float64 {
+	score := r.haste(s.speed)
 	if r.step.Rack != "" && s.target.Rack == r.step.Rack {
 		score += 4
 	}
