--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -39,6 +39,8 @@
 	target graph.Target
 	log    *logrus.Entry
 	wake   chan struct{}
+	// lanes has a place for each start on its way.
+	lanes  chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -71,6 +73,7 @@
 			"target": t.ID.ID,
 		}),
 		wake:   make(chan struct{}, 1),
+		lanes:  make(chan struct{}, startLanes),
 		ctx:    ctx,
 		cancel: cancel,
 		runs:   map[runKey]*runInfo{},
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -15,6 +15,9 @@
 const (
 	// startTries is how often a start without an answer is sent.
 	startTries = 3
+	// startLanes is how many starts may be on their way to a target, so that
+	// a wide step does not open a connection for each of its tasks.
+	startLanes = 3
 )
 
 // start orders a run to start, on a goroutine of its own.
@@ -28,7 +31,11 @@
 	}
 	d.poke()
 	d.leader.goRun(func() {
+		if !d.enter() {
+			return
+		}
 		state := d.sendStart(key, ticket)
+		d.leave()
 		d.mark(key, state)
 		if state == runStarted {
 			d.started(key)
@@ -40,6 +47,21 @@
 	})
 }
 
+// enter waits for a lane to the target. It tells false when the driver ends
+// before.
+func (d *driver) enter() bool {
+	select {
+	case d.lanes <- struct{}{}:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+func (d *driver) leave() {
+	<-d.lanes
+}
+
 // started notes when a run began. One without a checkpoint has done nothing
 // yet, which is its first report of progress.
 func (d *driver) started(key runKey) {
