--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -157,7 +157,6 @@
 	p := &planner{
 		in:      in,
 		targets: map[string][]*slot{},
-		byID:    map[string]*slot{},
 		used:    map[string]quota.Room{},
 		urgent:  map[string]bool{},
 		sorted:  map[string]bool{},
@@ -272,15 +271,19 @@
 }
 
 func (p *planner) slots() {
-	for id, t := range p.in.View.Targets() {
+	targets := p.in.View.Targets()
+	all := make([]slot, 0, len(targets))
+	p.byID = make(map[string]*slot, len(targets))
+	for id, t := range targets {
 		if t.Leaving || !p.in.Usable(id) {
 			continue
 		}
-		s := &slot{
+		all = append(all, slot{
 			target: t,
 			free:   t.Free(),
 			speed:  p.in.Speed(id),
-		}
+		})
+		s := &all[len(all)-1]
 		p.targets[t.Service] = append(p.targets[t.Service], s)
 		p.byID[id.ID] = s
 	}
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,6 +61,9 @@
 	// inherited are the runs that an earlier leader placed.
 	inherited map[runKey]bool
 	pacer     pace.Controller
+	// usableUntil is a time.Duration since the leader's start, by the steady
+	// clock.
+	usableUntil atomic.Int64
 	// watched tells that filler work runs beside services.
 	watched bool
 }
@@ -111,6 +115,7 @@
 	defer d.mu.Unlock()
 	d.beatAt = time.Now()
 	d.learnClock(clock)
+	d.refresh()
 }
 
 // learnClock notes a reading that has just arrived. Readings that the one
@@ -153,11 +158,20 @@
 	return clock + Clock(d.leader.part.terms.TTL)
 }
 
-func (d *driver) usable() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.met && d.failures == 0 && !d.clockAt.IsZero() &&
-		time.Since(d.beatAt) < d.leader.part.terms.Silent
+// usable tells whether new work may be sent to the target. A decision asks it
+// of every target, so it takes no lock.
+func (d *driver) usable(now time.Time) bool {
+	return now.Sub(d.leader.started) < time.Duration(d.usableUntil.Load())
+}
+
+// refresh notes until when the target is usable, if nothing new is heard. The
+// lock must be held.
+func (d *driver) refresh() {
+	var until time.Duration
+	if d.met && d.failures == 0 && !d.clockAt.IsZero() {
+		until = d.beatAt.Add(d.leader.part.terms.Silent).Sub(d.leader.started)
+	}
+	d.usableUntil.Store(int64(until))
 }
 
 func (d *driver) poke() {
@@ -230,6 +244,7 @@
 	}
 	d.failures = 0
 	d.acked = max(d.acked, order.Acked)
+	d.refresh()
 	d.mu.Unlock()
 	if first {
 		d.leader.poke()
@@ -298,6 +313,7 @@
 	}
 	d.mu.Lock()
 	d.failures++
+	d.refresh()
 	failures := d.failures
 	silent := time.Now().After(d.leased)
 	stale := time.Since(d.beatAt) > d.leader.part.terms.Silent
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -24,7 +24,7 @@
 	// decideGap is the least time between two decisions.
 	decideGap = 4 * time.Millisecond
 	// decideParts is how much longer than a decision the pause after it is.
-	decideParts = 3
+	decideParts = 8
 	// maxProposing bounds the decisions that are on their way into the log.
 	maxProposing = 3
 	upkeepEvery  = 100 * time.Millisecond
@@ -319,7 +319,7 @@
 	l.mu.Lock()
 	d := l.drivers[id]
 	l.mu.Unlock()
-	return d != nil && d.usable()
+	return d != nil && d.usable(time.Now())
 }
 
 // drive starts a driver for the target, unless there is one.
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -207,10 +207,12 @@
 	defer d.mu.Unlock()
 	if err == nil || errors.Is(err, ErrRefused) {
 		d.learnClock(clock)
+		d.refresh()
 		return
 	}
 	if errors.Is(err, ErrUnanswered) && d.ctx.Err() == nil {
 		d.failures++
+		d.refresh()
 	}
 }
 
