--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -22,6 +22,7 @@
 	Target *Announce
 	Gone   *Gone
 	Evict  *Evict
+	Copy   *Copy
 	Config *Config
 	Prune  *Prune
 }
@@ -115,6 +116,12 @@
 	Tasks []TaskRef
 }
 
+// Copy has tasks run a second time beside the run that goes on, where their
+// step allows it. The first run to be done counts.
+type Copy struct {
+	Tasks []TaskRef
+}
+
 // Prune forgets jobs that ended before the time.
 type Prune struct {
 	Before Millis
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -56,6 +56,17 @@
 	Disruption int
 }
 
+// copiedRuns is how many runs of a task that may be copied can go on at once.
+const copiedRuns = 2
+
+// MostRuns returns how many runs of a task may go on at the same time.
+func (s *Step) MostRuns() int {
+	if s.Copies && !s.Gang && !s.Lasting {
+		return copiedRuns
+	}
+	return 1
+}
+
 // Takes returns what a task takes of a target's room.
 func (s *Step) Takes() quota.Room {
 	room := s.Room
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -62,6 +62,8 @@
 		}
 	case c.Evict != nil:
 		l.evict(c.Evict)
+	case c.Copy != nil:
+		l.copy(c.Copy)
 	case c.Config != nil:
 		l.configure(c.Config)
 	case c.Prune != nil:
@@ -209,6 +211,21 @@
 	}
 }
 
+// copy has placed tasks wait for another run, while the one that goes on is
+// still held.
+func (l *Ledger) copy(c *Copy) {
+	for _, ref := range c.Tasks {
+		job := l.live[ref.Job]
+		if job == nil {
+			continue
+		}
+		task := job.Task(ref)
+		if task != nil && task.Held < job.Spec.Steps[ref.Step].MostRuns() {
+			l.requeue(job, ref, task)
+		}
+	}
+}
+
 // stored is the ledger as a snapshot holds it.
 type stored struct {
 	Now     Millis
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -126,6 +126,8 @@
 	Filler  bool
 	Latency Millis
 	Lasting bool
+	// Copies tells that the task may run a second time beside this run.
+	Copies bool
 	// Movable runs may be stopped to run again elsewhere.
 	Movable bool
 }
@@ -171,6 +173,10 @@
 	o.Lasting = step.Lasting
 	o.Movable = !step.Lasting && !step.Gang
 	o.Wanted = task.State == TaskPlaced && task.Run == run && task.Target == id && !task.Evicted
+	if step.MostRuns() > 1 && task.State != TaskDone && !task.Evicted {
+		o.Wanted = true
+	}
+	o.Copies = step.MostRuns() > 1
 	return o
 }
 
--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -84,7 +84,7 @@
 	if task.State != TaskWaiting || spot.Run <= task.Run {
 		return RefusedState
 	}
-	if task.Held > 0 {
+	if task.Held >= job.Spec.Steps[spot.Task.Step].MostRuns() {
 		return RefusedHeld
 	}
 	if !job.Turn(spot.Task.Occurrence, spot.Task.Step, l.now) {
@@ -128,6 +128,9 @@
 	case step.Spread > 0 && target.CountOf(ref) >= step.Spread:
 		return RefusedSpread
 	}
+	if _, there := target.Runs[ref]; there {
+		return RefusedHeld
+	}
 	return ""
 }
 
@@ -246,21 +249,25 @@
 		l.endGang(job, round, task, e)
 		return
 	}
-	if task.State != TaskPlaced || task.Run != e.Run {
+	step := &job.Spec.Steps[e.Task.Step]
+	newest := task.State == TaskPlaced && task.Run == e.Run
+	if task.State == TaskDone || !newest && step.MostRuns() == 1 {
 		return
 	}
-	switch e.How {
-	case HowDone:
+	if e.How == HowDone {
 		l.done(job, e.Task)
-	case HowFailed:
-		l.requeue(job, e.Task, task)
-		task.Failures++
-		if !job.Spec.Steps[e.Task.Step].Lasting && task.Failures >= l.attempts(job) {
-			l.finish(job, StateFailed)
-		}
-	default:
+		return
+	}
+	if newest {
 		l.requeue(job, e.Task, task)
 	}
+	if e.How != HowFailed {
+		return
+	}
+	task.Failures++
+	if !step.Lasting && task.Failures >= l.attempts(job) {
+		l.finish(job, StateFailed)
+	}
 }
 
 // attempts returns how many runs of a task may fail.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -376,7 +376,8 @@
 	for i := range r.tasks {
 		task := &r.tasks[i]
 		ref := r.ref(i)
-		if _, pending := p.in.Pending[ref]; pending || task.State != graph.TaskWaiting || task.Held > 0 {
+		if _, pending := p.in.Pending[ref]; pending || task.State != graph.TaskWaiting ||
+			task.Held >= r.step.MostRuns() {
 			continue
 		}
 		s := p.choose(r, ref, advised)
@@ -520,6 +521,9 @@
 	if !r.step.Takes().Fits(s.free) || !s.target.Has(r.step.Label) {
 		return false
 	}
+	if _, there := s.target.Runs[ref]; there {
+		return false
+	}
 	if advised != nil {
 		ticket, ok := advised.Good[s.target.ID.ID]
 		if !ok || ticket.Until.Sub(p.in.Now) < ticketSlack {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -30,6 +30,9 @@
 	// doubtWait is how long a renewal waits while a run is being stopped or
 	// its start is in doubt.
 	doubtWait = 150 * time.Millisecond
+	// copyAfter is after how many unanswered renewals in a row a target's tasks
+	// are copied, where they may be.
+	copyAfter = 2
 	// stopAgain is after how long an order to stop is sent again.
 	stopAgain = 500 * time.Millisecond
 )
@@ -322,6 +325,9 @@
 		d.log.WithError(err).Warn("target: no answer")
 		d.leader.poke()
 	}
+	if failures == copyAfter {
+		d.copyRuns("target does not answer")
+	}
 	if !silent || !stale && d.leader.part.ledger.Holds(d.target.ID) == 0 {
 		return false
 	}
--- a/internal/push/follow.go
+++ b/internal/push/follow.go
@@ -51,7 +51,7 @@
 // still moved.
 func (d *driver) follow(listing Listing) {
 	now := time.Now()
-	var still []graph.TaskRef
+	var still, slow []graph.TaskRef
 	for _, r := range listing.Running {
 		key := runKey{
 			task: r.Task,
@@ -62,13 +62,20 @@
 			continue
 		}
 		stands := d.noteProgress(key, order, r.Percent, now)
-		if stands && order.Movable {
+		switch {
+		case stands && order.Copies:
+			if d.copiedOnce(key) {
+				d.leader.rater.Failed(stepOf(r.Task), r.Task.Index, d.target.ID)
+				slow = append(slow, r.Task)
+			}
+		case stands && order.Movable:
 			still = append(still, r.Task)
 		}
 	}
+	d.leader.copy("stands still", slow)
 	if len(still) > 0 {
 		d.log.WithField("count", len(still)).Warn("target: tasks make no progress")
-		d.leader.move(still)
+		d.leader.move(d.target.ID, still)
 	}
 }
 
@@ -92,10 +99,55 @@
 	return d.leader.rater.Stalled(stepOf(key.task), key.task.Index, stallTimes, now)
 }
 
+// copyRuns has those of the target's tasks that may be copied run elsewhere
+// too.
+func (d *driver) copyRuns(why string) {
+	var tasks []graph.TaskRef
+	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
+		key := runKey{
+			task: order.Task,
+			run:  order.Run,
+		}
+		if order.Copies && order.Wanted && d.copiedOnce(key) {
+			tasks = append(tasks, order.Task)
+		}
+	}
+	d.leader.copy(why, tasks)
+}
+
+// copiedOnce notes that the run is copied. It tells false when that was so.
+func (d *driver) copiedOnce(key runKey) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.known(key)
+	first := !info.copied
+	info.copied = true
+	return first
+}
+
+// copy has tasks run a second time beside the run that goes on.
+func (l *leader) copy(why string, tasks []graph.TaskRef) {
+	if len(tasks) == 0 {
+		return
+	}
+	for _, ref := range tasks {
+		l.log.WithFields(logrus.Fields{
+			"job":  ref.Job,
+			"task": ref.Name(),
+			"why":  why,
+		}).Info("sched: task is run beside itself")
+	}
+	if _, fault := l.propose(l.ctx, graph.Command{Copy: &graph.Copy{Tasks: tasks}}); fault != nil {
+		l.log.WithField("fault", fault.Error()).Warn("sched: copies not committed")
+		return
+	}
+	l.poke()
+}
+
 // move has tasks that stand still stopped, to run again elsewhere.
-func (l *leader) move(tasks []graph.TaskRef) {
+func (l *leader) move(from graph.TargetID, tasks []graph.TaskRef) {
 	for _, ref := range tasks {
-		l.rater.Failed(stepOf(ref), ref.Index)
+		l.rater.Failed(stepOf(ref), ref.Index, from)
 		l.log.WithFields(logrus.Fields{
 			"job":  ref.Job,
 			"task": ref.Name(),
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -89,11 +89,11 @@
 	d.leader.part.metrics.ends.WithLabelValues(e.How.String()).Inc()
 	switch e.How {
 	case graph.HowDone:
-		d.leader.rater.Done(step, e.Task.Index, time.Now())
+		d.leader.rater.Done(step, e.Task.Index, d.target.ID, time.Now())
 	case graph.HowFailed:
-		d.leader.rater.Failed(step, e.Task.Index)
+		d.leader.rater.Failed(step, e.Task.Index, d.target.ID)
 	default:
-		d.leader.rater.Dropped(step, e.Task.Index)
+		d.leader.rater.Dropped(step, e.Task.Index, d.target.ID)
 	}
 }
 
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -316,3 +316,24 @@
 	s.eventually(testTerms().TTL, "tasks run elsewhere", func() bool { return s.runs("w1") == 2 })
 	s.never()
 }
+
+// Pattern: a target is cut off with tasks that may run twice. They run beside
+// themselves soon, and do not wait until the lease of the target is over.
+func TestCopiesOfSilentTarget(t *testing.T) {
+	terms := testTerms()
+	terms.TTL = 8 * time.Second
+	s := newSceneWith(t, terms, false, "w0")
+	s.fleet.work = 900 * time.Millisecond
+	step := tasks(2)
+	step.Copies = true
+	s.submit("a", step)
+	s.eventually(patience, "tasks run", func() bool { return s.runs("w0") == 2 })
+	s.fleet.read(func() { s.fleet.targets["w0"].silent = true })
+	s.announce("w1", 1)
+	began := time.Now()
+	s.eventually(patience, "job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	s.c.Assert(time.Since(began) < terms.TTL/2, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	s.never()
+}
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -44,6 +44,8 @@
 	track   finish.Track
 	// settled runs have no end that is worth waiting for.
 	settled bool
+	// copied runs have been asked to have another beside them.
+	copied bool
 }
 
 // reconcile compares what the target should hold with what it listed on a
--- a/pkg/rating/rating.go
+++ b/pkg/rating/rating.go
@@ -81,10 +81,10 @@
 	}
 }
 
-// take removes and returns the run of a task, or nil.
-func (r *Rater[S, T]) take(step S, task int) (*alike[T], *run[T]) {
+// take removes and returns the run of a task on a machine, or nil.
+func (r *Rater[S, T]) take(step S, task int, on T) (*alike[T], *run[T]) {
 	a := r.steps[step]
-	if a == nil {
+	if a == nil || a.runs[task] == nil || a.runs[task].machine != on {
 		return nil, nil
 	}
 	got := a.runs[task]
@@ -101,12 +101,12 @@
 	return m
 }
 
-// Done notes that a task is done. Once enough alike tasks are, their machines
+// Done notes that a task is done on a machine. Once enough alike tasks are, their machines
 // are rated against each other.
-func (r *Rater[S, T]) Done(step S, task int, at time.Time) {
+func (r *Rater[S, T]) Done(step S, task int, on T, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a, got := r.take(step, task)
+	a, got := r.take(step, task, on)
 	if got == nil {
 		return
 	}
@@ -136,11 +136,11 @@
 	a.done = nil
 }
 
-// Failed notes that a task has failed.
-func (r *Rater[S, T]) Failed(step S, task int) {
+// Failed notes that a task has failed on a machine.
+func (r *Rater[S, T]) Failed(step S, task int, on T) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, got := r.take(step, task)
+	_, got := r.take(step, task, on)
 	if got == nil {
 		return
 	}
@@ -149,11 +149,11 @@
 	m.ended = time.Now()
 }
 
-// Dropped notes that a run has ended for a reason that says nothing.
-func (r *Rater[S, T]) Dropped(step S, task int) {
+// Dropped notes that a run on a machine has ended for a reason that says nothing.
+func (r *Rater[S, T]) Dropped(step S, task int, on T) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.take(step, task)
+	r.take(step, task, on)
 }
 
 // Speed returns how fast the machine works, where 1 is usual. It is lowered
