--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -21,6 +21,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/peer"
 	"github.com/jasmineward/jasmineward/pkg/raft"
+	"github.com/jasmineward/jasmineward/pkg/walog"
 )
 
 const (
@@ -300,6 +301,8 @@
 	case <-replica.Done():
 		if !errors.Is(replica.Err(), raft.ErrStopped) {
 			h.log.WithError(replica.Err()).Error("group: replica failed")
+			probe := func() error { return walog.Probe(h.cfg.DataFolder) }
+			awaitDisk(h.ctx, probe, diskRetry, diskPatience, h.log)
 			close(h.failed)
 		}
 	}
