--- a/pkg/rating/rating.go
+++ b/pkg/rating/rating.go
@@ -13,10 +13,17 @@
 	usual   = 1.0
 	slowest = 0.1
 	fastest = 2.0
-	// newest is the weight of the newest run in a machine's speed, and of
-	// the newest end in its part of failures.
-	newest      = 0.15
+	// newest is the least weight of the newest run in a machine's speed. The
+	// first runs weigh more: as much as if the usual speed had been seen
+	// assumedRuns times before. newestEnd is the weight of the newest end in a
+	// machine's part of failures.
+	newest      = 0.1
+	assumedRuns = 2
 	newestEnd   = 0.25
+	// A run on a machine that takes it several times as long as expected tells
+	// of a machine that has just turned slow, and weighs turnedSlow.
+	muchSlower  = 0.5
+	turnedSlow  = 0.3
 	leastAlike  = 2
 	leastLength = 20 * time.Millisecond
 	// leastStall is taken for the length of shorter tasks, whose length says
@@ -45,7 +52,9 @@
 
 // machine is what is known of one machine.
 type machine struct {
-	speed    float64
+	speed float64
+	// runs counts those that were compared.
+	runs     int
 	failures float64
 	ended    time.Time
 }
@@ -131,11 +140,21 @@
 	for _, d := range a.done {
 		m := r.machine(d.machine)
 		seen := mean / d.length.Seconds()
-		m.speed += newest * (min(max(seen, slowest), fastest) - m.speed)
+		m.learn(min(max(seen, slowest), fastest))
 	}
 	a.done = nil
 }
 
+// learn takes the speed that one run has shown.
+func (m *machine) learn(seen float64) {
+	m.runs++
+	weight := max(newest, 1/float64(m.runs+assumedRuns))
+	if seen < muchSlower*m.speed {
+		weight = max(weight, turnedSlow)
+	}
+	m.speed += weight * (seen - m.speed)
+}
+
 // Failed notes that a task has failed on a machine.
 func (r *Rater[S, T]) Failed(step S, task int, on T) {
 	r.mu.Lock()
--- a/pkg/rating/rating_test.go
+++ b/pkg/rating/rating_test.go
@@ -103,3 +103,31 @@
 	}
 	qt.Check(t, r.Speed("second"), qt.Equals, 1.0)
 }
+
+// Pattern: a day has just begun, and each machine has run a few tasks only.
+// Slow machines are told from fast ones by then.
+func TestSpeedsAreLearnedSoon(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	r := rating.NewRater[int, int]()
+	speeds := []float64{0.8, 1, 1.25}
+	now := time.Unix(0, 0)
+	for step := range 20 {
+		for task := range 6 {
+			machine := (step*6 + task) % 30
+			r.Started(step, task, machine, now)
+		}
+		for task := range 6 {
+			machine := (step*6 + task) % 30
+			work := 0.85 + 0.3*random.Float64()
+			r.Done(step, task, machine, now.Add(time.Duration(work/speeds[machine%3]*float64(time.Second))))
+		}
+	}
+	mean := [3]float64{}
+	for machine := range 30 {
+		mean[machine%3] += r.Speed(machine) / 10
+	}
+	// Half of the true difference is seen after four runs each.
+	half := (speeds[2] - speeds[0]) / 2
+	c.Assert(mean[2]-mean[0] > half, qt.IsTrue, qt.Commentf("%v after 4 runs each", mean))
+}
