--- a/cmd/jasctl/main.go
+++ b/cmd/jasctl/main.go
@@ -52,6 +52,7 @@
 		{name: "job wait", args: "[flags] REQUEST-ID", summary: "wait for a job's outcome", run: jobWait},
 		{name: "job cancel", args: "[flags] REQUEST-ID", summary: "cancel a job", run: jobCancel},
 		{name: "job list", args: "[flags]", summary: "list the jobs of the key's team", run: jobList},
+		{name: "explain", args: "[flags] ID", summary: "tell from logs what became of a job of the users' platform", run: explain},
 		{name: "note check", args: "[flags] FILE", summary: "check a release note against what is in force", run: noteCheck},
 		{name: "note apply", args: "[flags] FILE", summary: "apply a release note", run: noteApply},
 		{name: "note get", args: "[flags]", summary: "show what is in force", run: noteGet},
@@ -83,8 +84,11 @@
 	}
 	name := args[0] + " " + args[1]
 	for _, c := range commands() {
-		if c.name == name {
-			t := &tool{out: out}
+		t := &tool{out: out}
+		switch c.name {
+		case args[0]:
+			return exitOf(c.run(ctx, t, args[1:]), errOut)
+		case name:
 			return exitOf(c.run(ctx, t, args[2:]), errOut)
 		}
 	}
@@ -94,11 +98,11 @@
 }
 
 func help(args []string, out io.Writer) int {
-	if len(args) < 3 {
+	if len(args) < 2 {
 		usage(out)
 		return exitOK
 	}
-	name := args[1] + " " + args[2]
+	name := strings.Join(args[1:], " ")
 	for _, c := range commands() {
 		if c.name == name {
 			_, _ = fmt.Fprintf(out, "jasctl %s %s\n\n%s\n\nflags:\n", c.name, c.args, c.summary)
--- a/cmd/jasctl/settings.go
+++ b/cmd/jasctl/settings.go
@@ -60,6 +60,7 @@
 	"job wait":   func(set *flag.FlagSet) any { return newServiceFlags(set) },
 	"job cancel": func(set *flag.FlagSet) any { return newServiceFlags(set) },
 	"job list":   func(set *flag.FlagSet) any { return newListFlags(set) },
+	"explain":    func(set *flag.FlagSet) any { return newLogsFlags(set) },
 	"note apply": func(set *flag.FlagSet) any { return newWaitFlags(set) },
 }
 
--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -158,6 +158,14 @@
 	Detail  string
 	// Groups has a refusal for each group of a Place, empty where taken.
 	Groups []Refusal
+	// Finished are the jobs that the command brought to an end.
+	Finished []Finished
+}
+
+// Finished tells of a job that has come to an end.
+type Finished struct {
+	Job   JobID
+	State State
 }
 
 // Encode returns the command as it goes into the log.
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -100,6 +100,23 @@
 	StateCancelled
 )
 
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case StateQueued:
+		return "queued"
+	case StateRunning:
+		return "running"
+	case StateCompleted:
+		return "completed"
+	case StateFailed:
+		return "failed"
+	case StateCancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
 // Final tells whether the state never changes again.
 func (s State) Final() bool {
 	return s >= StateCompleted
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -19,6 +19,8 @@
 	targets map[TargetID]*Target
 	usage   map[string]quota.Room
 	pending map[string]int
+	// finished are the jobs that the command being applied brings to an end.
+	finished []Finished
 }
 
 // NewLedger returns an empty ledger.
@@ -43,6 +45,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.now = max(l.now, c.Time)
+	l.finished = nil
 	switch {
 	case c.Submit != nil:
 		return l.submit(c.Submit)
@@ -54,12 +57,14 @@
 		for _, end := range c.Events.Ends {
 			l.end(end)
 		}
+		return l.result()
 	case c.Target != nil:
 		l.announce(c.Target)
 	case c.Gone != nil:
 		for _, id := range c.Gone.Targets {
 			l.gone(id)
 		}
+		return l.result()
 	case c.Evict != nil:
 		l.evict(c.Evict)
 	case c.Copy != nil:
@@ -72,6 +77,11 @@
 	return Result{}
 }
 
+// result returns what a command has brought to an end.
+func (l *Ledger) result() Result {
+	return Result{Finished: l.finished}
+}
+
 func (l *Ledger) configure(c *Config) {
 	if l.config != nil && l.config.config.Version >= c.Version {
 		return
@@ -153,6 +163,10 @@
 	job.Occurrences = nil
 	job.Waiting = 0
 	delete(l.live, job.ID)
+	l.finished = append(l.finished, Finished{
+		Job:   job.ID,
+		State: state,
+	})
 }
 
 func (l *Ledger) prune(before Millis) {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -379,7 +379,7 @@
 }
 
 func (d *driver) commit(ends []graph.End) error {
-	_, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: ends}})
+	result, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: ends}})
 	if fault != nil {
 		d.log.WithField("fault", fault.Error()).Warn("target: ends not committed")
 		return fault
@@ -388,6 +388,7 @@
 		d.rate(e)
 	}
 	d.logEnds(ends)
+	d.leader.logFinished(result.Finished)
 	d.leader.poke()
 	return nil
 }
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -358,15 +358,27 @@
 			"why":    why,
 		}).Info("target: lifetime over")
 	}
-	if _, fault := l.propose(l.ctx, graph.Command{Gone: &graph.Gone{Targets: ids}}); fault != nil {
+	result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.Gone{Targets: ids}})
+	if fault != nil {
 		return fault
 	}
+	l.logFinished(result.Finished)
 	for _, id := range ids {
 		l.drop(id)
 	}
 	return nil
 }
 
+// logFinished writes a line for each job that has come to an end.
+func (l *leader) logFinished(finished []graph.Finished) {
+	for _, f := range finished {
+		l.log.WithFields(logrus.Fields{
+			"job":   f.Job,
+			"state": f.State.String(),
+		}).Info("job: over")
+	}
+}
+
 // upkeep forgets old jobs and advice.
 func (l *leader) upkeep() {
 	every := 5 * time.Second
