--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -21,6 +21,9 @@
 	spareRoom  = 3.0
 	// hasty is the weight of a target's speed for the most urgent work.
 	hasty = 4.0
+	// failedHere outweighs all else: a task is not tried again where it has just
+	// failed, unless nothing else is free.
+	failedHere = 20.0
 	// sound is the speed below which a target is avoided by all.
 	sound = 0.6
 	// urgentPart is the part of a tenant's limit that is kept for its urgent
@@ -491,7 +494,11 @@
 		if !p.fits(r, ref, s, advised) {
 			continue
 		}
-		if score := p.score(r, s); best == nil || score > bestScore {
+		score := p.score(r, s)
+		if task := &r.tasks[ref.Index]; task.Failures > 0 && task.Target == s.target.ID {
+			score -= failedHere
+		}
+		if best == nil || score > bestScore {
 			best, bestScore = s, score
 		}
 	}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -320,3 +320,23 @@
 	s.submit("urgent", "v", step(1, 9000))
 	qt.Check(t, s.decide().Groups, qt.HasLen, 1)
 }
+
+// Pattern: a target fails all that it starts. A task that failed there is tried
+// elsewhere, and does not use its attempts up on it.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(3, quota.Room{})
+	s.submit("urgent", "a", step(1, 2000))
+	d := s.decide()
+	s.commit(d)
+	first := d.Groups[0][0].Target
+	s.ledger.Apply(graph.Command{Events: &graph.Events{Ends: []graph.End{{
+		Target: first,
+		Task:   graph.TaskRef{Job: "a"},
+		Run:    1,
+		How:    graph.HowFailed,
+	}}}})
+	d = s.decide()
+	c.Assert(d.Groups, qt.HasLen, 1)
+	c.Check(d.Groups[0][0].Target, qt.Not(qt.Equals), first)
+}
