--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -21,6 +21,10 @@
 	// failedFor is how long an address that did not answer is not taken for
 	// the leader's again.
 	failedFor = 300 * time.Millisecond
+	// A call is given up once no leader has answered for absentFor and it has
+	// waited for patience itself: its caller may find one elsewhere.
+	absentFor = 1500 * time.Millisecond
+	patience  = 500 * time.Millisecond
 	// retryAfter is told to callers while no leader is known.
 	retryAfter = time.Second
 )
@@ -277,11 +281,12 @@
 }
 
 // Route brings an idempotent call to the leader, trying again until the
-// context ends. Where this instance leads, local serves it.
+// context ends or there has been no leader for long. Where this instance leads, local serves it.
 func Route[A, V any](
 	ctx context.Context, h *Host, method string, args *A, local func(*A, *wire.Reply[V]) error,
 ) (V, *wire.Fault) {
 	backoff := minBackoff
+	began := time.Now()
 	for {
 		reply, err := attempt(ctx, h, method, args, local)
 		if err == nil && (reply.Fault == nil || !reply.Fault.Retryable()) {
@@ -296,7 +301,8 @@
 		}
 		wait := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
-		if !Pause(ctx, wait) {
+		absent := time.Since(began) > patience && !h.Reachable(absentFor)
+		if absent || !Pause(ctx, wait) {
 			fault := wire.Newf(wire.CodeUnavailable, "no leader answered in time")
 			fault.RetryAfter = retryAfter
 			return reply.Value, fault
