--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/local"
+	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
@@ -268,3 +269,21 @@
 		g.eventually(m.cfg.Name+" has both", func() bool { return m.words.has("kept") && m.words.has("more") })
 	}
 }
+
+// Pattern: there is no leader for long. A call that waits is answered long
+// before its deadline, with when to come again, so that its caller may try
+// elsewhere.
+func TestCallIsGivenUpWithoutLeader(t *testing.T) {
+	g := newTestGroup(t, 3, 0)
+	g.start(g.members[0])
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	none := func(*string, *wire.Reply[string]) error { return nil }
+	word := "a"
+	_, fault := Route(ctx, g.members[0].host, "Words.Say", &word, none)
+	g.c.Assert(fault, qt.Not(qt.IsNil))
+	g.c.Check(fault.Code, qt.Equals, wire.CodeUnavailable)
+	g.c.Check(fault.RetryAfter, qt.Equals, retryAfter)
+	g.c.Check(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+}
