--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -28,7 +28,7 @@
 	sound = 0.6
 	// urgentPart is the part of a tenant's limit that is kept for its urgent
 	// work while it has some.
-	urgentPart = 0.35
+	urgentPart = 0.2
 	// ticketSlack is how long a ticket must still last for a start.
 	ticketSlack = 300 * time.Millisecond
 )
