--- a/cmd/jasmined/main.go
+++ b/cmd/jasmined/main.go
@@ -30,8 +30,8 @@
 }
 
 func run() int {
-	if len(os.Args) == 2 && os.Args[1] == "platform" {
-		return runPlatform()
+	if len(os.Args) > 1 && os.Args[1] == "platform" {
+		return runPlatform(os.Args[2:])
 	}
 	path := flag.String("config", "", "settings file, in TOML")
 	check := flag.Bool("check", false, "check the settings and exit")
@@ -59,10 +59,18 @@
 }
 
 // runPlatform runs an instance of a group on the users' platform, which names
-// the settings file.
-func runPlatform() int {
-	err := plat.Run()
+// the settings file, or checks that file.
+func runPlatform(args []string) int {
+	flags := flag.NewFlagSet("jasmined platform", flag.ContinueOnError)
+	check := flags.Bool("check", false, "check the settings and exit")
+	if flags.Parse(args) != nil || flags.NArg() > 0 {
+		return exitSettings
+	}
+	err := platform(*check)
 	switch {
+	case err == nil && *check:
+		fmt.Println("settings are sound")
+		return exitOK
 	case err == nil:
 		return exitOK
 	case errors.Is(err, plat.ErrSettings), errors.Is(err, plat.ErrNoSettings):
@@ -73,6 +81,14 @@
 	return exitFailed
 }
 
+func platform(check bool) error {
+	if check {
+		_, err := plat.Load()
+		return err
+	}
+	return plat.Run()
+}
+
 func printSettings(settings config.Settings) int {
 	text, err := settings.Print()
 	if err != nil {
--- a/cmd/jasmined/process_test.go
+++ b/cmd/jasmined/process_test.go
@@ -319,6 +319,47 @@
 	}
 }
 
+// TestPlatformSettings checks the settings file that the users' platform names.
+func TestPlatformSettings(t *testing.T) {
+	const sound = "name = \"edge-1\"\naddress = \"127.0.0.1\"\npeer-port = 7000\nseeds = [\"127.0.0.1:7001\"]\n"
+	for _, tc := range []struct {
+		name string
+		text string
+		want string
+		exit int
+	}{
+		{
+			name: "sound",
+			text: sound,
+			want: "settings are sound",
+			exit: exitOK,
+		},
+		{
+			name: "port out of range",
+			text: strings.Replace(sound, "7000", "70000", 1),
+			want: "peer-port 70000 is out of range",
+			exit: exitSettings,
+		},
+		{
+			name: "not TOML",
+			text: "name = ",
+			want: "settings are wrong",
+			exit: exitSettings,
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			path := filepath.Join(t.TempDir(), "instance.toml")
+			c.Assert(os.WriteFile(path, []byte(tc.text), 0o600), qt.IsNil)
+			cmd := exec.Command(binary, "platform", "-check")
+			cmd.Env = append(os.Environ(), "JASMINEWARD_CONFIG="+path)
+			out, _ := cmd.CombinedOutput()
+			c.Check(cmd.ProcessState.ExitCode(), qt.Equals, tc.exit)
+			c.Check(string(out), qt.Contains, tc.want)
+		})
+	}
+}
+
 // TestFolderLock starts a second process on the data folder of a first.
 func TestFolderLock(t *testing.T) {
 	all := processes(t)
