--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -9,9 +9,16 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
-// maxQuestions bounds the questions of one decision, which comes before the
-// next by milliseconds only.
-const maxQuestions = 16
+const (
+	// maxQuestions bounds the questions of one decision, which comes before the
+	// next by milliseconds only.
+	maxQuestions = 16
+	// A call for advice names at least leastAsked and at most mostAsked
+	// targets, and so many that spareRoom times the tasks should find room.
+	leastAsked = 8
+	mostAsked  = 40
+	spareRoom  = 3.0
+)
 
 // advisable tells whether there is advice to place the round by. If not, or
 // if too little of it is left, it asks.
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -18,6 +18,8 @@
 	// startLanes is how many starts may be on their way to a target, so that
 	// a wide step does not open a connection for each of its tasks.
 	startLanes = 3
+	// stopAgain is after how long an order to stop is sent again.
+	stopAgain = 500 * time.Millisecond
 )
 
 // start orders a run to start, on a goroutine of its own.
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -8,6 +8,10 @@
 	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
+// placedFor is how long a run may be in the log before its start is sent. One
+// whose commit was in doubt is never sent otherwise.
+const placedFor = time.Second
+
 // runKey names a run.
 type runKey struct {
 	task graph.TaskRef
