Have TestMetrics wait for the ends to be counted

Traced: the ledger shows the job as completed as soon as the command is applied; the driver counts the ends when its proposal returns, which is later. With 300 ms put between the two the test failed each time, and passes now. It still wants exactly two ends, within the same patience as all else; the bound on other lines is as it was.

--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -250,9 +251,15 @@
 	s.eventually(patience, "job completed", func() bool {
 		return s.state("a") == graph.StateCompleted
 	})
-	recorder := httptest.NewRecorder()
-	s.part.Metrics().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	text := recorder.Body.String()
+	// The driver counts an end once its commit has returned, which may be after
+	// the job is seen to be completed.
+	text := ""
+	s.eventually(patience, "both ends counted", func() bool {
+		recorder := httptest.NewRecorder()
+		s.part.Metrics().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		text = recorder.Body.String()
+		return strings.Contains(text, `jasmineward_runs_ended_total{how="done"} 2`)
+	})
 	for _, line := range []string{
 		"jasmineward_leading 1",
 		`jasmineward_submits_total{refusal=""} 1`,
