Return an instance's reason when the caller's time ends during a later try

Traced: such an instance answers at once that its configuration is stale; the client tries again until its 2 s are over, and when they end in the middle of a call, not in a pause, it dropped the answers that it had. Change: the newest answer is returned.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -97,13 +97,16 @@
 }
 
 // do sends a request to one instance after the other until one answers with
-// something that is not a passing problem, or the context ends.
+// something that is not a passing problem, or the context ends. Then it returns
+// what an instance answered last, if any did.
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
 	data, err := encode(body)
 	if err != nil {
 		return err
 	}
 	backoff := firstBackoff
+	// answered is the newest answer of an instance that could not serve.
+	var answered error
 	for {
 		base := c.bases[c.next.Load()%uint64(len(c.bases))]
 		err := c.once(ctx, method, base+path, data, into)
@@ -111,6 +114,12 @@
 		if err == nil || (errors.As(err, &p) && !p.Retryable()) {
 			return err
 		}
+		switch {
+		case p != nil:
+			answered = err
+		case ctx.Err() != nil && answered != nil:
+			return answered
+		}
 		c.next.Add(1)
 		if !pause(ctx, backoff) {
 			return err
