Keep renewals out of TestPlacedRunIsNotStartedByRenewal

Traced: the test took the driver that runs, whose next renewal forgets a run that the ledger does not have, as it should; when it came between the test's two steps, the run was gone. The test now has a driver of its own that is not started; what it wants is unchanged.

--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -190,7 +190,9 @@
 // goroutine that sends it, with the ticket.
 func TestPlacedRunIsNotStartedByRenewal(t *testing.T) {
 	s := newScene(t, true, "w0")
-	d := s.part.lead.Load().drive(graph.Target{ID: graph.TargetID{
+	// A driver whose own renewals do not run: they would forget a run that the
+	// ledger does not have.
+	d := newDriver(s.part.lead.Load(), graph.Target{ID: graph.TargetID{
 		ID:   "w0",
 		Born: 1,
 	}})
