Have TestOperatorsRace read the winner from an instance that has the note

Cause: the note in force was read from any instance, also from a follower without the note of the race; the test then took the other operator for the winner. Ruled out: the conflict itself, which is right for the loser's note. The test waits until the number is the race's and wants all that it wanted.

--- a/internal/fake/failure_test.go
+++ b/internal/fake/failure_test.go
@@ -162,6 +162,11 @@
 	f.Check(codeOf(first), qt.Equals, wire.CodeConflict)
 	inForce, err := f.cell.Operators().InForce(f.ctx)
 	f.Assert(err, qt.IsNil)
+	// Any instance answers, also one that does not have the note yet.
+	f.eventually("an instance tells of the winner", func() bool {
+		inForce, err = f.cell.Operators().InForce(f.ctx)
+		return err == nil && inForce.InForce.Number == f.number+1
+	})
 	winner := "estates"
 	if _, ok := inForce.InForce.Teams[winner]; !ok {
 		winner = "gardens"
