Read a target's orders once a renewal, and say what stood several times once

A renewal asked the ledger for the orders of its target once to reconcile and then twice more for each run that was listed, to follow progress and to pace, each time under the ledger's lock; one table now serves all three. keyOf stands for ten literals; one look-up of a driver for two; the predicate 'waits' for a check that stood in the planner twice; sync's WaitGroup.Go for four copies of goRun (push, group, node twice); probe for its copy in the heartbeat. noteProgress says its four cases one after the other. Behaviour is meant to be the same: the tests of these packages pass unchanged.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -120,21 +120,13 @@
 		return err
 	}
 	h.server.Serve()
-	h.goRun(h.router.run)
+	h.done.Go(h.router.run)
 	if h.cfg.DataFolder != "" {
-		h.goRun(h.keepMember)
+		h.done.Go(h.keepMember)
 	}
 	return nil
 }
 
-func (h *Host) goRun(run func()) {
-	h.done.Add(1)
-	go func() {
-		defer h.done.Done()
-		run()
-	}()
-}
-
 // Address returns where peers reach the instance.
 func (h *Host) Address() string {
 	return h.cfg.Address
@@ -256,7 +248,7 @@
 	}
 	h.replica.Store(replica)
 	h.logs.SetReceiver(replica)
-	h.goRun(func() { h.watch(replica) })
+	h.done.Go(func() { h.watch(replica) })
 	h.log.WithFields(logrus.Fields{
 		"id":    id.ID,
 		"first": first != nil,
--- a/internal/node/folder.go
+++ b/internal/node/folder.go
@@ -113,7 +113,7 @@
 	}
 	n.replica.Store(replica)
 	n.logServer.SetReceiver(replica)
-	n.goRun(func() { n.watch(replica) })
+	n.done.Go(func() { n.watch(replica) })
 	n.log.Infof("node: replica %d of cell %s started", id.ID, id.Cell)
 	return nil
 }
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -119,17 +119,9 @@
 }
 
 func (l *leader) start() {
-	l.goRun(l.schedule)
-	l.goRun(l.upkeep)
-	l.goRun(l.keepVoters)
-}
-
-func (l *leader) goRun(run func()) {
-	l.done.Add(1)
-	go func() {
-		defer l.done.Done()
-		run()
-	}()
+	l.done.Go(l.schedule)
+	l.done.Go(l.upkeep)
+	l.done.Go(l.keepVoters)
 }
 
 // stop ends the leader's part. Waiting calls return at once.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,10 +164,10 @@
 		return nil, err
 	}
 	n.server.Serve()
-	n.goRun(n.router.run)
-	n.goRun(n.follow.run)
+	n.done.Go(n.router.run)
+	n.done.Go(n.follow.run)
 	if cfg.DataFolder != "" {
-		n.goRun(n.keepMember)
+		n.done.Go(n.keepMember)
 	}
 	return n, nil
 }
@@ -188,14 +188,6 @@
 	return server.Concurrent("Cell", &calls{node: n})
 }
 
-func (n *Node) goRun(run func()) {
-	n.done.Add(1)
-	go func() {
-		defer n.done.Done()
-		run()
-	}()
-}
-
 // Address returns where peers reach the node.
 func (n *Node) Address() string {
 	return n.cfg.Advertise
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -153,7 +153,7 @@
 func (l *leader) placeFailed(decisions []sched.Decision, fault *wire.Fault) {
 	l.node.log.Warnf("sched: placements not committed: %s", fault)
 	if fault.Code == wire.CodeUncertain {
-		l.goRun(func() { l.recheck(decisions) })
+		l.done.Go(func() { l.recheck(decisions) })
 		return
 	}
 	now := time.Now()
--- a/internal/node/upkeep.go
+++ b/internal/node/upkeep.go
@@ -47,7 +47,7 @@
 		if !l.markEnding(key) {
 			return
 		}
-		l.goRun(func() { l.endSession(key) })
+		l.done.Go(func() { l.endSession(key) })
 	})
 }
 
--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -32,22 +32,22 @@
 			}
 		}
 	}
-	waiting := p.waiting(r)
+	waiting := 0
+	for i := range r.tasks {
+		if p.waits(r, i) {
+			waiting++
+		}
+	}
 	if room < waiting && (advised == nil || !advised.Busy) && p.allowed(r) {
 		p.ask(r, advised, waiting-room)
 	}
 	return room > 0
 }
 
-// waiting counts the round's tasks that are neither placed nor about to be.
-func (p *planner) waiting(r *round) int {
-	n := 0
-	for i := range r.tasks {
-		if _, pending := p.in.Pending[r.ref(i)]; !pending && r.tasks[i].State == graph.TaskWaiting {
-			n++
-		}
-	}
-	return n
+// waits tells whether a task is neither placed nor about to be.
+func (p *planner) waits(r *round, index int) bool {
+	_, pending := p.in.Pending[r.ref(index)]
+	return !pending && r.tasks[index].State == graph.TaskWaiting
 }
 
 // copies returns how many more tasks of the round the target may take.
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -36,8 +36,7 @@
 	for i := range r.tasks {
 		task := &r.tasks[i]
 		ref := r.ref(i)
-		if _, pending := p.in.Pending[ref]; pending || task.State != graph.TaskWaiting ||
-			task.Held >= r.step.MostRuns() {
+		if !p.waits(r, i) || task.Held >= r.step.MostRuns() {
 			continue
 		}
 		s := p.choose(r, ref, advised)
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -105,7 +105,7 @@
 	}
 	a.steps[q.Step] = next
 	a.mu.Unlock()
-	a.leader.goRun(func() { a.call(q, address, wait) })
+	a.leader.done.Go(func() { a.call(q, address, wait) })
 }
 
 func costOf(q plan.Question) time.Duration {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -69,11 +69,8 @@
 
 // inherit notes the runs that the target may hold as an earlier leader's.
 func (d *driver) inherit() {
-	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
-		d.inherited[runKey{
-			task: order.Task,
-			run:  order.Run,
-		}] = true
+	for key := range d.orders() {
+		d.inherited[key] = true
 	}
 }
 
--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -36,10 +36,7 @@
 	d.mu.Lock()
 	d.seen = max(d.seen, last)
 	for _, e := range ends {
-		delete(d.runs, runKey{
-			task: e.Task,
-			run:  e.Run,
-		})
+		delete(d.runs, keyOf(e.Task, e.Run))
 	}
 	d.mu.Unlock()
 	return nil
--- a/internal/push/follow.go
+++ b/internal/push/follow.go
@@ -49,15 +49,12 @@
 
 // follow takes the progress that the target lists, and has tasks that stand
 // still moved.
-func (d *driver) follow(listing Listing) {
+func (d *driver) follow(orders map[runKey]graph.Order, listing Listing) {
 	now := time.Now()
 	var still, slow []graph.TaskRef
 	for _, r := range listing.Running {
-		key := runKey{
-			task: r.Task,
-			run:  r.Run,
-		}
-		order := d.leader.part.ledger.OrderOf(d.target.ID, r.Task, r.Run)
+		key := keyOf(r.Task, r.Run)
+		order := orders[key]
 		if !order.Wanted {
 			continue
 		}
@@ -91,10 +88,12 @@
 	settled := info.settled
 	d.mu.Unlock()
 	switch {
-	case settled, foretold && done.Sub(now) < soonDone && !stands:
+	case settled:
 		return false
 	case stands:
 		return true
+	case foretold && done.Sub(now) < soonDone:
+		return false
 	}
 	return d.leader.rater.Stalled(stepOf(key.task), key.task.Index, stallTimes, now)
 }
@@ -103,11 +102,7 @@
 // too.
 func (d *driver) copyRuns(why string) {
 	var tasks []graph.TaskRef
-	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
-		key := runKey{
-			task: order.Task,
-			run:  order.Run,
-		}
+	for key, order := range d.orders() {
 		if order.Copies && order.Wanted && d.copiedOnce(key) {
 			tasks = append(tasks, order.Task)
 		}
--- a/internal/push/hold.go
+++ b/internal/push/hold.go
@@ -97,11 +97,12 @@
 	if err := d.takeEnds(listing.Ended); err != nil {
 		return nil
 	}
+	orders := d.orders()
 	if len(listing.Ended) < listedEnds {
-		d.reconcile(sent, listing)
+		d.reconcile(sent, orders, listing)
 	}
-	d.follow(listing)
-	d.pace(listing)
+	d.follow(orders, listing)
+	d.pace(orders, listing)
 	return nil
 }
 
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -126,16 +126,8 @@
 		l.newest[t.ID.ID] = max(l.newest[t.ID.ID], t.ID.Born)
 		l.drive(t)
 	}
-	l.goRun(l.decideAll)
-	l.goRun(l.upkeep)
-}
-
-func (l *leader) goRun(run func()) {
-	l.done.Add(1)
-	go func() {
-		defer l.done.Done()
-		run()
-	}()
+	l.done.Go(l.decideAll)
+	l.done.Go(l.upkeep)
 }
 
 func (l *leader) stop() {
@@ -248,7 +240,7 @@
 		}
 	}
 	l.mu.Unlock()
-	l.goRun(func() { l.commit(d) })
+	l.done.Go(func() { l.commit(d) })
 }
 
 // commit brings a decision into the log, and sends its orders.
@@ -306,22 +298,23 @@
 
 // send has the target's driver order the start.
 func (l *leader) send(spot graph.Spot, ticket string) {
-	l.mu.Lock()
-	d := l.drivers[spot.Target]
-	l.mu.Unlock()
-	if d == nil {
-		return
+	if d := l.driver(spot.Target); d != nil {
+		d.start(spot.Task, spot.Run, ticket)
 	}
-	d.start(spot.Task, spot.Run, ticket)
 }
 
 func (l *leader) usable(id graph.TargetID) bool {
-	l.mu.Lock()
-	d := l.drivers[id]
-	l.mu.Unlock()
+	d := l.driver(id)
 	return d != nil && d.usable(time.Now())
 }
 
+// driver returns the driver of the lifetime, or nil.
+func (l *leader) driver(id graph.TargetID) *driver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.drivers[id]
+}
+
 // drive starts a driver for the target, unless there is one.
 func (l *leader) drive(t graph.Target) *driver {
 	l.mu.Lock()
@@ -331,7 +324,7 @@
 		d = newDriver(l, t)
 		d.inherit()
 		l.drivers[t.ID] = d
-		l.goRun(d.keep)
+		l.done.Go(d.keep)
 	}
 	return d
 }
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -24,15 +24,12 @@
 
 // start orders a run to start, on a goroutine of its own.
 func (d *driver) start(task graph.TaskRef, run uint32, ticket string) {
-	key := runKey{
-		task: task,
-		run:  run,
-	}
+	key := keyOf(task, run)
 	if !d.claim(key) {
 		return
 	}
 	d.poke()
-	d.leader.goRun(func() {
+	d.leader.done.Go(func() {
 		if !d.enter() {
 			return
 		}
@@ -229,7 +226,7 @@
 	}
 	info.stopAt = now
 	d.mu.Unlock()
-	d.leader.goRun(func() { d.sendStop(key) })
+	d.leader.done.Go(func() { d.sendStop(key) })
 }
 
 func (d *driver) sendStop(key runKey) {
@@ -263,10 +260,7 @@
 	for _, d := range drivers {
 		for _, order := range l.part.ledger.Orders(d.target.ID) {
 			if !order.Wanted {
-				d.stop(runKey{
-					task: order.Task,
-					run:  order.Run,
-				})
+				d.stop(keyOf(order.Task, order.Run))
 			}
 		}
 	}
--- a/internal/push/pace.go
+++ b/internal/push/pace.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
@@ -14,15 +15,12 @@
 const pacedWait = 500 * time.Millisecond
 
 // pace steers the filler runs on the target by the services that it listed.
-func (d *driver) pace(listing Listing) {
+func (d *driver) pace(orders map[runKey]graph.Order, listing Listing) {
 	var services []pace.Service
 	var fillers []runKey
 	for _, r := range listing.Running {
-		key := runKey{
-			task: r.Task,
-			run:  r.Run,
-		}
-		order := d.leader.part.ledger.OrderOf(d.target.ID, r.Task, r.Run)
+		key := keyOf(r.Task, r.Run)
+		order := orders[key]
 		switch {
 		case !order.Wanted:
 		case order.Filler:
@@ -46,7 +44,7 @@
 	}
 	d.mu.Unlock()
 	for _, key := range changed {
-		d.leader.goRun(func() { d.sendPace(key, percent) })
+		d.leader.done.Go(func() { d.sendPace(key, percent) })
 	}
 }
 
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -18,6 +18,13 @@
 	run  uint32
 }
 
+func keyOf(task graph.TaskRef, run uint32) runKey {
+	return runKey{
+		task: task,
+		run:  run,
+	}
+}
+
 // runState is what a driver knows of a run that it has given orders on.
 type runState uint8
 
@@ -52,24 +59,25 @@
 	copied bool
 }
 
+// orders returns the runs that the ledger has on the target.
+func (d *driver) orders() map[runKey]graph.Order {
+	list := d.leader.part.ledger.Orders(d.target.ID)
+	orders := make(map[runKey]graph.Order, len(list))
+	for _, order := range list {
+		orders[keyOf(order.Task, order.Run)] = order
+	}
+	return orders
+}
+
 // reconcile compares what the target should hold with what it listed on a
 // request sent at the time.
-func (d *driver) reconcile(sent time.Time, listing Listing) {
+func (d *driver) reconcile(sent time.Time, orders map[runKey]graph.Order, listing Listing) {
 	running := make(map[runKey]bool, len(listing.Running))
 	for _, r := range listing.Running {
-		running[runKey{
-			task: r.Task,
-			run:  r.Run,
-		}] = true
+		running[keyOf(r.Task, r.Run)] = true
 	}
-	known := map[runKey]bool{}
 	var absent []graph.End
-	for _, order := range d.leader.part.ledger.Orders(d.target.ID) {
-		key := runKey{
-			task: order.Task,
-			run:  order.Run,
-		}
-		known[key] = true
+	for key, order := range orders {
 		if d.settle(order, key, running[key], sent) {
 			absent = append(absent, graph.End{
 				Target: d.target.ID,
@@ -80,11 +88,11 @@
 		}
 	}
 	for key := range running {
-		if !known[key] {
+		if _, known := orders[key]; !known {
 			d.stop(key)
 		}
 	}
-	d.forget(known, sent)
+	d.forget(orders, sent)
 	if len(absent) == 0 {
 		return
 	}
@@ -94,10 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range absent {
-		delete(d.runs, runKey{
-			task: e.Task,
-			run:  e.Run,
-		})
+		delete(d.runs, keyOf(e.Task, e.Run))
 	}
 }
 
@@ -147,11 +152,12 @@
 }
 
 // forget drops what is known of runs that the ledger no longer has here.
-func (d *driver) forget(known map[runKey]bool, sent time.Time) {
+func (d *driver) forget(orders map[runKey]graph.Order, sent time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for key, info := range d.runs {
-		if !known[key] && info.state != runSending && info.changed.Before(sent) && info.stopAt.Before(sent) {
+		_, known := orders[key]
+		if !known && info.state != runSending && info.changed.Before(sent) && info.stopAt.Before(sent) {
 			delete(d.runs, key)
 		}
 	}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -184,7 +184,10 @@
 		c.sendAppend(to, pr, c.log.base.Index, false)
 		return
 	}
-	pr.probeSent = pr.probing
+	if pr.probing {
+		c.probe(to, pr)
+		return
+	}
 	c.sendAppend(to, pr, pr.next-1, false)
 }
 
