Want only those runs of a copied task that a target may hold

Found on reading the change again. Cause: for a task that may be copied, an order was wanted as long as the task was not done, for any run that was asked about; a start still waiting for its lane could have been sent for a run that is over. Change: the run must be one that the target may hold.

--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -580,3 +580,31 @@
 	_, refusal := l.PendingOf(wrong)
 	c.Assert(refusal, qt.Equals, RefusedNoQueue)
 }
+
+// A run of a copied task that is over is not wanted any more, though the task
+// goes on elsewhere: its start must not be sent again.
+func TestOverRunOfCopiedTaskIsNotWanted(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	submitOne(l, "a", Step{
+		Count:  1,
+		Room:   cpu(1000),
+		Copies: true,
+	})
+	ref := TaskRef{Job: "a"}
+	c.Assert(place(l, 1, "w0", 1, ref), qt.Equals, Refusal(""))
+	l.Apply(Command{Copy: &Copy{Tasks: []TaskRef{ref}}})
+	c.Assert(place(l, 1, "w1", 2, ref), qt.Equals, Refusal(""))
+	w0 := TargetID{
+		ID:   "w0",
+		Born: 1,
+	}
+	c.Assert(l.OrderOf(w0, ref, 1).Wanted, qt.IsTrue)
+	end(l, "w0", 1, HowAbsent, ref)
+	c.Check(l.OrderOf(w0, ref, 1).Wanted, qt.IsFalse)
+	c.Check(l.OrderOf(w0, ref, 2).Wanted, qt.IsFalse)
+	c.Check(l.OrderOf(TargetID{
+		ID:   "w1",
+		Born: 1,
+	}, ref, 2).Wanted, qt.IsTrue)
+}
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -172,14 +172,19 @@
 	o.Latency = step.Latency
 	o.Lasting = step.Lasting
 	o.Movable = !step.Lasting && !step.Gang
-	o.Wanted = task.State == TaskPlaced && task.Run == run && task.Target == id && !task.Evicted
-	if step.MostRuns() > 1 && task.State != TaskDone && !task.Evicted {
-		o.Wanted = true
-	}
 	o.Copies = step.MostRuns() > 1
+	newest := task.State == TaskPlaced && task.Run == run && task.Target == id
+	beside := o.Copies && task.State != TaskDone && l.holds(id, ref, run)
+	o.Wanted = (newest || beside) && !task.Evicted
 	return o
 }
 
+// holds tells whether the target may hold the run.
+func (l *Ledger) holds(id TargetID, ref TaskRef, run uint32) bool {
+	t := l.targets[id]
+	return t != nil && t.Runs[ref].Run == run
+}
+
 // View is what policies decide by. It may be read only during View's call.
 type View struct {
 	ledger *Ledger
