Keep one copy of what the two routers know of the others

Found on reading the whole change again: internal/group/router.go had been written beside internal/node/router.go, with the same clients, leader, failed address, membership and shared search. peer.Contacts holds these now, for both. What differs stays where it is: the retry budget and pings of node, the confirmed leader and the patience of group, and that a search of node which finds nobody drops the leader. Nothing is meant to change; TestContacts and TestSearchIsShared say what holds.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -308,7 +308,7 @@
 	}
 	member, _ := replica.Status().Membership.Find(id)
 	if member.Address == "" {
-		member, _ = h.router.members().Find(id)
+		member, _ = h.router.Members().Find(id)
 	}
 	return member.Address
 }
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -34,11 +34,11 @@
 	reply.Value = wire.Hello{
 		Name:       h.cfg.Name,
 		Cell:       h.cell(),
-		Membership: h.router.members(),
+		Membership: h.router.Members(),
 	}
 	replica := h.replica.Load()
 	if replica == nil {
-		reply.Value.Leader = h.router.known()
+		reply.Value.Leader = h.router.Leader()
 		return nil
 	}
 	status := replica.Status()
@@ -152,7 +152,7 @@
 	if fault != nil {
 		return false, fault
 	}
-	h.router.learnMembers(reply.Membership)
+	h.router.LearnMembers(reply.Membership)
 	return false, nil
 }
 
@@ -171,7 +171,7 @@
 	if hello == nil {
 		return errors.New("no peer belongs to a group")
 	}
-	h.router.learnMembers(hello.Membership)
+	h.router.LearnMembers(hello.Membership)
 	id, err := NewIdentity(hello.Cell)
 	if err != nil {
 		return err
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -18,9 +18,6 @@
 	callTimeout = 1500 * time.Millisecond
 	minBackoff  = 10 * time.Millisecond
 	maxBackoff  = 200 * time.Millisecond
-	// failedFor is how long an address that did not answer is not taken for
-	// the leader's again.
-	failedFor = 300 * time.Millisecond
 	// A call is given up once no leader has answered for absentFor and it has
 	// waited for patience itself: its caller may find one elsewhere.
 	absentFor = 1500 * time.Millisecond
@@ -31,25 +28,21 @@
 
 // router finds the leader and brings calls to it.
 type router struct {
+	*peer.Contacts
+
 	host *Host
 
-	mu       sync.Mutex
-	clients  map[string]*peer.Client
-	probe    *peer.Client
-	probeTo  string
-	leader   string
-	failed   string
-	failedAt time.Time
+	mu      sync.Mutex
+	probe   *peer.Client
+	probeTo string
 	// confirmed is when the leader answered last.
-	confirmed  time.Time
-	membership raft.Membership
-	finding    chan struct{}
+	confirmed time.Time
 }
 
 func newRouter(h *Host) *router {
 	return &router{
-		host:    h,
-		clients: map[string]*peer.Client{},
+		Contacts: peer.NewContacts(h.dialer),
+		host:     h,
 	}
 }
 
@@ -62,13 +55,13 @@
 }
 
 func (r *router) ping() {
-	address := r.known()
+	address := r.Leader()
 	switch {
 	case r.host.leads():
 		r.confirm(r.host.cfg.Address)
 		return
 	case address == "":
-		r.find(r.host.ctx)
+		r.Find(r.host.ctx, r.search)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
@@ -77,20 +70,20 @@
 	probe := r.probeOf(address)
 	if err := probe.Call(ctx, methodHello, r.hello(), &reply); err != nil {
 		probe.Reset()
-		r.client(address).Reset()
-		r.forget(address)
+		r.Client(address).Reset()
+		r.Forget(address)
 		r.host.log.WithError(err).WithField("leader", address).Warn("router: leader lost")
-		r.find(r.host.ctx)
+		r.Find(r.host.ctx, r.search)
 		return
 	}
-	r.learnMembers(reply.Value.Membership)
+	r.LearnMembers(reply.Value.Membership)
 	switch reply.Value.Leader {
 	case address:
 		r.confirm(address)
 	case "":
-		r.forget(address)
+		r.Forget(address)
 	default:
-		r.learn(reply.Value.Leader)
+		r.Learn(reply.Value.Leader)
 	}
 }
 
@@ -127,64 +120,13 @@
 func (r *router) confirm(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leader != address {
+	if r.Leader() != address {
 		r.host.log.WithField("leader", address).Info("router: leader found")
 	}
-	r.leader = address
+	r.SetLeader(address)
 	r.confirmed = time.Now()
 }
 
-func (r *router) known() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.leader
-}
-
-func (r *router) learn(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if address == "" || address == r.failed && time.Since(r.failedAt) < failedFor {
-		return
-	}
-	r.leader = address
-}
-
-func (r *router) forget(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.failed = address
-	r.failedAt = time.Now()
-	if r.leader == address {
-		r.leader = ""
-	}
-}
-
-func (r *router) members() raft.Membership {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.membership
-}
-
-func (r *router) learnMembers(m raft.Membership) {
-	if len(m.Members) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.membership = m
-}
-
-func (r *router) client(address string) *peer.Client {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.clients[address]
-	if c == nil {
-		c = r.host.dialer.NewClient(address)
-		r.clients[address] = c
-	}
-	return c
-}
-
 // ask returns the answer of a peer that belongs to a group, preferring one
 // that knows the leader, or nil.
 func (r *router) ask(ctx context.Context) *wire.Hello {
@@ -193,7 +135,7 @@
 	for _, address := range addresses {
 		go func() {
 			var reply wire.Reply[wire.Hello]
-			if err := r.client(address).Call(ctx, methodHello, r.hello(), &reply); err != nil {
+			if err := r.Client(address).Call(ctx, methodHello, r.hello(), &reply); err != nil {
 				answers <- nil
 				return
 			}
@@ -206,7 +148,7 @@
 		if hello == nil || hello.Cell == "" {
 			continue
 		}
-		if hello.Leader != "" && !r.hasFailed(hello.Leader) {
+		if hello.Leader != "" && !r.HasFailed(hello.Leader) {
 			return hello
 		}
 		found = hello
@@ -214,12 +156,6 @@
 	return found
 }
 
-func (r *router) hasFailed(address string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return address == r.failed && time.Since(r.failedAt) < failedFor
-}
-
 // addresses returns every instance that may know the leader.
 func (r *router) addresses() []string {
 	seen := map[string]bool{r.host.cfg.Address: true}
@@ -230,7 +166,7 @@
 			all = append(all, address)
 		}
 	}
-	for _, member := range r.members().Members {
+	for _, member := range r.Members().Members {
 		add(member.Address)
 	}
 	for _, seed := range r.host.cfg.Seeds {
@@ -239,42 +175,20 @@
 	return all
 }
 
-// find asks the peers for the leader. Callers that come meanwhile share one
-// search.
-func (r *router) find(ctx context.Context) {
-	r.mu.Lock()
-	searching := r.finding
-	if searching == nil {
-		searching = make(chan struct{})
-		r.finding = searching
-		go r.search(searching)
-	}
-	r.mu.Unlock()
-	select {
-	case <-searching:
-	case <-ctx.Done():
-	}
-}
-
-func (r *router) search(done chan struct{}) {
+// search asks the peers for the leader.
+func (r *router) search() {
 	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
 	defer cancel()
 	if hello := r.ask(ctx); hello != nil {
-		r.learn(hello.Leader)
-		r.learnMembers(hello.Membership)
+		r.Learn(hello.Leader)
+		r.LearnMembers(hello.Membership)
 	}
-	r.mu.Lock()
-	r.finding = nil
-	r.mu.Unlock()
-	close(done)
 }
 
 func (r *router) close() {
+	r.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range r.clients {
-		c.Close()
-	}
 	if r.probe != nil {
 		r.probe.Close()
 	}
@@ -296,8 +210,8 @@
 			err = reply.Fault
 		}
 		h.log.WithError(err).WithField("method", method).Debug("router: call is tried again")
-		if h.router.known() == "" || reply.Fault != nil {
-			h.router.find(ctx)
+		if h.router.Leader() == "" || reply.Fault != nil {
+			h.router.Find(ctx, h.router.search)
 		}
 		wait := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
@@ -317,7 +231,7 @@
 	if h.leads() {
 		return reply, local(args, &reply)
 	}
-	address := h.router.known()
+	address := h.router.Leader()
 	if address == "" || address == h.cfg.Address {
 		return reply, peer.ErrUnreachable
 	}
@@ -332,7 +246,7 @@
 	defer cancel()
 	// A lost reply may still be written, so it has room of its own.
 	reply := &wire.Reply[V]{}
-	if err := h.router.client(address).Call(ctx, method, args, reply); err != nil {
+	if err := h.router.Client(address).Call(ctx, method, args, reply); err != nil {
 		return wire.Reply[V]{}, err
 	}
 	return *reply, nil
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -30,7 +30,7 @@
 }
 
 func (n *Node) logRoute(call string, request ledger.RequestKey) {
-	to := n.router.known()
+	to := n.router.Leader()
 	if n.Leading() {
 		to = "here"
 	}
@@ -116,5 +116,5 @@
 	if replica := n.replica.Load(); replica != nil {
 		return replica.Status().Membership
 	}
-	return n.router.members()
+	return n.router.Members()
 }
--- a/internal/node/folder.go
+++ b/internal/node/folder.go
@@ -126,7 +126,7 @@
 	}
 	member, _ := replica.Status().Membership.Find(id)
 	if member.Address == "" {
-		member, _ = n.router.members().Find(id)
+		member, _ = n.router.Members().Find(id)
 	}
 	return member.Address
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -58,7 +58,7 @@
 		Address: f.node.cfg.Advertise,
 		Domain:  f.node.cfg.Domain,
 		Wait:    feedWait,
-		Members: sumOf(f.node.router.members()),
+		Members: sumOf(f.node.router.Members()),
 	}
 	current := f.view.Load()
 	if current != nil {
@@ -73,7 +73,7 @@
 		f.node.meter.Fresh.Set(0)
 		return false
 	}
-	f.node.router.learnMembers(reply.Membership)
+	f.node.router.LearnMembers(reply.Membership)
 	return f.take(current, reply, sent)
 }
 
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -52,7 +52,7 @@
 	if fault != nil {
 		return fault
 	}
-	n.router.learnMembers(reply.Membership)
+	n.router.LearnMembers(reply.Membership)
 	return nil
 }
 
@@ -62,7 +62,7 @@
 	if hello == nil {
 		return errUnknownCell
 	}
-	n.router.learnMembers(hello.Membership)
+	n.router.LearnMembers(hello.Membership)
 	id, err := group.NewIdentity(hello.Cell)
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,7 +269,7 @@
 		n.transport.Close()
 	}
 	n.server.Close()
-	n.router.close()
+	n.router.Close()
 	n.done.Wait()
 	if n.storage != nil {
 		_ = n.storage.Close()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,7 +11,6 @@
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/peer"
 	"github.com/jasmineward/jasmineward/internal/wire"
-	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
 const (
@@ -27,9 +25,6 @@
 	// Retries wait between these times, with jitter.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
-	// failedFor is how long an address that did not answer is not taken for
-	// the leader's again.
-	failedFor = 300 * time.Millisecond
 	// The retry budget: so many retries a second, and in one burst.
 	retryRate  = 2000
 	retryBurst = 4000
@@ -37,27 +32,21 @@
 
 // router finds the leader and brings calls to it.
 type router struct {
+	*peer.Contacts
+
 	node   *Node
 	budget *rate.Limiter
 	// These belong to the goroutine that pings the leader.
 	probed  *peer.Client
 	probeTo string
 	silent  int
-
-	mu         sync.Mutex
-	clients    map[string]*peer.Client
-	leader     string
-	failed     string
-	failedAt   time.Time
-	membership raft.Membership
-	finding    chan struct{}
 }
 
 func newRouter(n *Node) *router {
 	return &router{
-		node:    n,
-		budget:  rate.NewLimiter(retryRate, retryBurst),
-		clients: map[string]*peer.Client{},
+		Contacts: peer.NewContacts(n.dialer),
+		node:     n,
+		budget:   rate.NewLimiter(retryRate, retryBurst),
 	}
 }
 
@@ -83,7 +72,7 @@
 // calls of others. Only when it stays silent is their connection given up:
 // giving it up under load would bring all of them back at once.
 func (r *router) ping() {
-	address := r.known()
+	address := r.Leader()
 	if r.node.Leading() || address == "" {
 		r.silent = 0
 		return
@@ -98,8 +87,8 @@
 		r.silent++
 		if r.silent >= silentPings || errors.Is(err, peer.ErrUnreachable) {
 			r.silent = 0
-			r.client(address).Reset()
-			r.forget(address)
+			r.Client(address).Reset()
+			r.Forget(address)
 		}
 		return
 	}
@@ -123,63 +112,19 @@
 	return r.probed
 }
 
-func (r *router) known() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.leader
-}
-
+// learn notes who is said to lead; "" is nobody.
 func (r *router) learn(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if address == r.failed && time.Since(r.failedAt) < failedFor {
-		return
-	}
-	r.leader = address
-}
-
-// forget notes that the address did not answer. Peers may name it as the
-// leader for a while after it has gone.
-func (r *router) forget(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.failed = address
-	r.failedAt = time.Now()
-	if r.leader == address {
-		r.leader = ""
-	}
-}
-
-func (r *router) members() raft.Membership {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.membership
-}
-
-func (r *router) learnMembers(m raft.Membership) {
-	if len(m.Members) == 0 {
+	if address == "" {
+		r.SetLeader("")
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.membership = m
-}
-
-func (r *router) client(address string) *peer.Client {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.clients[address]
-	if c == nil {
-		c = r.node.dialer.NewClient(address)
-		r.clients[address] = c
-	}
-	return c
+	r.Learn(address)
 }
 
 func (r *router) hello(ctx context.Context, address string) (wire.Hello, error) {
 	var reply wire.Reply[wire.Hello]
 	args := &wire.HelloArgs{Name: r.node.cfg.Name}
-	if err := r.client(address).Call(ctx, wire.MethodHello, args, &reply); err != nil {
+	if err := r.Client(address).Call(ctx, wire.MethodHello, args, &reply); err != nil {
 		return wire.Hello{}, err
 	}
 	return reply.Value, nil
@@ -198,7 +143,7 @@
 	for _, address := range r.node.cfg.Peers {
 		add(address)
 	}
-	for _, member := range r.members().Members {
+	for _, member := range r.Members().Members {
 		add(member.Address)
 	}
 	return all
@@ -233,43 +178,15 @@
 	return found
 }
 
-// find asks the peers for the leader. Callers that come meanwhile share one
-// search.
-func (r *router) find(ctx context.Context) {
-	r.mu.Lock()
-	searching := r.finding
-	if searching == nil {
-		searching = make(chan struct{})
-		r.finding = searching
-		go r.search(searching)
-	}
-	r.mu.Unlock()
-	select {
-	case <-searching:
-	case <-ctx.Done():
-	}
-}
-
-func (r *router) search(done chan struct{}) {
+// search asks the peers for the leader.
+func (r *router) search() {
 	ctx, cancel := context.WithTimeout(r.node.ctx, helloTimeout)
 	defer cancel()
 	if member, ok := r.node.knownLeader(); ok {
 		r.learn(member.Address)
 	} else if hello := r.askPeers(ctx); hello != nil {
 		r.learn(hello.Leader)
-		r.learnMembers(hello.Membership)
-	}
-	r.mu.Lock()
-	r.finding = nil
-	r.mu.Unlock()
-	close(done)
-}
-
-func (r *router) close() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.clients {
-		c.Close()
+		r.LearnMembers(hello.Membership)
 	}
 }
 
@@ -299,7 +216,7 @@
 	if r.node.Leading() {
 		return reply, local(args, &reply)
 	}
-	address := r.known()
+	address := r.Leader()
 	if address == "" {
 		return reply, peer.ErrUnreachable
 	}
@@ -309,9 +226,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := r.client(address).Call(ctx, method, args, &reply)
+	err := r.Client(address).Call(ctx, method, args, &reply)
 	if err != nil {
-		r.forget(address)
+		r.Forget(address)
 		return wire.Reply[V]{}, err
 	}
 	return reply, nil
@@ -321,8 +238,8 @@
 func (r *router) next(ctx context.Context, fault *wire.Fault, backoff *time.Duration) *wire.Fault {
 	if fault != nil && fault.Leader != "" && fault.Leader != r.node.cfg.Advertise {
 		r.learn(fault.Leader)
-	} else if r.known() == "" || fault != nil {
-		r.find(ctx)
+	} else if r.Leader() == "" || fault != nil {
+		r.Find(ctx, r.search)
 	}
 	// Beyond the budget retries wait for their turn: to fail them would only
 	// bring them back as new calls.
