Send orders through core instances of the target's failure domain

Then its listeners accept nothing, the log's files cannot be opened, and the replica ends. Ruled out: leaked connections (the sum of renewals and lanes explains what was seen); callers and heartbeats alone (3,000 heartbeats spread over the voters). Change: relays (internal/push/relay.go). The leader keeps all state of a target; the call itself is made by a core instance of the target's failure domain, chosen by weighted hashing among those that answer a hello on the same connection. A relay that does not answer is passed by, one that does not reach a target is passed by for that target. What listeners and resting connections may have of the descriptors is bounded by a setting. Tests: TestRelaysShareTargets (no network), TestOrdersGoThroughTheDomain (fails where the leader makes the calls), TestTargetsOutliveTheirRelay. What grows next is a relay's own connections: with five voters some 5,000 targets.

--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -75,6 +75,31 @@
 	return nodes
 }
 
+// Peers returns the other members of the group.
+func (h *Host) Peers() []raft.Member {
+	replica := h.replica.Load()
+	if replica == nil {
+		return nil
+	}
+	var peers []raft.Member
+	for _, member := range replica.Status().Membership.Members {
+		if member.Address != "" && member.Address != h.cfg.Address {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+// Check says hello to the instance. The connection to one that does not answer
+// within the limit is closed, and every call on it fails at once.
+func (h *Host) Check(address string, limit time.Duration) error {
+	_, err := CallAt[wire.HelloArgs, wire.Hello](h.ctx, h, address, methodHello, h.router.hello(), limit)
+	if err != nil {
+		h.router.Client(address).Reset()
+	}
+	return err
+}
+
 // Join makes an instance with a disk a learner.
 func (c *calls) Join(args *wire.JoinArgs, reply *wire.Reply[wire.Joined]) error {
 	replica := c.host.replica.Load()
--- a/internal/push/calls.go
+++ b/internal/push/calls.go
@@ -20,6 +20,7 @@
 	methodBeat      = service + ".Beat"
 	methodLeave     = service + ".Leave"
 	methodAdvise    = service + ".Advise"
+	methodOrder     = service + ".Order"
 
 	// serveTimeout bounds the work on one call.
 	serveTimeout = 5 * time.Second
@@ -149,6 +150,19 @@
 	return nil
 }
 
+// Order sends an order of the leader to a target.
+func (c *calls) Order(args *OrderArgs, reply *wire.Reply[OrderReply]) error {
+	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
+	defer cancel()
+	value, err := carryOut(ctx, c.part.targets, args)
+	value.Outcome = outcomeOf(err)
+	if err != nil {
+		value.Detail = err.Error()
+	}
+	reply.Value = value
+	return nil
+}
+
 // Submit hands a job in.
 func (p *Part) Submit(ctx context.Context, s *graph.Submit) (Answer, *wire.Fault) {
 	return group.Route(ctx, p.host, methodSubmit, s, (&calls{part: p}).Submit)
--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -172,16 +172,14 @@
 	return nil
 }
 
-func (f *fakeFleet) Stop(
-	ctx context.Context, t *graph.Target, task graph.TaskRef, run uint32, token uint64,
-) (Clock, error) {
-	target, err := f.find(ctx, t, token)
+func (f *fakeFleet) Stop(ctx context.Context, t *graph.Target, order Stop) (Clock, error) {
+	target, err := f.find(ctx, t, order.Token)
 	defer f.mu.Unlock()
 	if err != nil {
 		return 0, err
 	}
-	target.highest[task] = max(target.highest[task], run)
-	if r := target.running[task]; r != nil && r.until.IsZero() {
+	target.highest[order.Task] = max(target.highest[order.Task], order.Run)
+	if r := target.running[order.Task]; r != nil && r.until.IsZero() {
 		r.until = time.Now().Add(f.stopTakes)
 	}
 	return target.clock(), nil
@@ -354,13 +352,29 @@
 // announce starts a lifetime of a target, and keeps its heartbeats going
 // while it is not silent.
 func (s *scene) announce(name string, born int64) {
+	s.announceAs(graph.Announce{
+		ID: graph.TargetID{
+			ID:   name,
+			Born: born,
+		},
+		Service: "s",
+		Address: name,
+		Capacity: quota.Room{
+			CPU:    4000,
+			Memory: 4000,
+		},
+	})
+}
+
+// announceAs starts a lifetime of a target that tells of itself what is given.
+func (s *scene) announceAs(announce graph.Announce) {
 	target := &fakeTarget{
 		born:     time.Now(),
-		lifetime: born,
+		lifetime: announce.ID.Born,
 		running:  map[graph.TaskRef]*fakeRun{},
 		highest:  map[graph.TaskRef]uint32{},
 	}
-	s.fleet.read(func() { s.fleet.targets[name] = target })
+	s.fleet.read(func() { s.fleet.targets[announce.ID.ID] = target })
 	beat := func() {
 		var clock Clock
 		silent := false
@@ -369,19 +383,8 @@
 			return
 		}
 		_ = s.part.Beat(s.ctx(), &Beat{
-			Announce: graph.Announce{
-				ID: graph.TargetID{
-					ID:   name,
-					Born: born,
-				},
-				Service: "s",
-				Address: name,
-				Capacity: quota.Room{
-					CPU:    4000,
-					Memory: 4000,
-				},
-			},
-			Clock: clock,
+			Announce: announce,
+			Clock:    clock,
 		})
 	}
 	beat()
--- a/internal/push/hold.go
+++ b/internal/push/hold.go
@@ -75,7 +75,7 @@
 	order := d.holdOrder()
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(d.ctx, order.Wait+holdSlack)
-	listing, err := d.leader.part.targets.Hold(ctx, &d.target, order)
+	listing, err := d.leader.targets.Hold(ctx, &d.target, order)
 	cancel()
 	if err != nil {
 		return err
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -73,6 +73,8 @@
 	started time.Time
 	wake    chan struct{}
 	advice  *advice
+	relays  *relays
+	targets Targets
 
 	rater *rating.Rater[plan.StepKey, graph.TargetID]
 	waits *waits
@@ -117,15 +119,28 @@
 		cancel:  cancel,
 	}
 	l.advice = newAdvice(l)
+	l.relays = newRelays(p.host, l.log)
+	l.targets = &relayed{
+		direct:  p.targets,
+		relays:  l.relays,
+		metrics: p.metrics,
+	}
 	return l
 }
 
 // start takes over the targets that the ledger knows.
 func (l *leader) start() {
-	for _, t := range l.part.ledger.Targets() {
+	targets := l.part.ledger.Targets()
+	for _, t := range targets {
 		l.newest[t.ID.ID] = max(l.newest[t.ID.ID], t.ID.Born)
-		l.drive(t)
 	}
+	l.done.Go(func() {
+		l.relays.check(relaySettle)
+		for _, t := range targets {
+			l.drive(t)
+		}
+		l.relays.watch(l.ctx)
+	})
 	l.done.Go(l.decideAll)
 	l.done.Go(l.upkeep)
 }
@@ -337,7 +352,7 @@
 	l.mu.Unlock()
 	if d != nil {
 		d.cancel()
-		l.part.targets.Forget(&d.target)
+		l.targets.Forget(&d.target)
 	}
 	l.poke()
 }
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -18,6 +18,7 @@
 	leading  prometheus.Gauge
 	admitted *prometheus.CounterVec
 	orders   *prometheus.CounterVec
+	ways     *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	commit   prometheus.Histogram
 	advice   prometheus.Histogram
@@ -51,6 +52,8 @@
 			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
 		orders: counters("jasmineward_orders_total",
 			"Starts sent by this leader, by what came of them.", "outcome"),
+		ways: counters("jasmineward_calls_to_targets_total",
+			"Calls to targets by this leader, by the way they took.", "way"),
 		ends:   counters("jasmineward_runs_ended_total", "Runs ended, by how.", "how"),
 		commit: histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
 		advice: histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
@@ -61,7 +64,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.admitted, m.orders, m.ends, m.commit, m.advice, m.begun, m.decide,
+	m.registry.MustRegister(m.leading, m.admitted, m.orders, m.ways, m.ends, m.commit, m.advice, m.begun, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
-		clock, err := d.leader.part.targets.Start(ctx, &d.target, Start{
+		clock, err := d.leader.targets.Start(ctx, &d.target, Start{
 			Task:     key.task,
 			Run:      key.run,
 			Payload:  order.Payload,
@@ -162,7 +162,7 @@
 		})
 		cancel()
 		d.note(clock, err)
-		d.leader.part.metrics.orders.WithLabelValues(outcomeOf(err)).Inc()
+		d.leader.part.metrics.orders.WithLabelValues(string(outcomeOf(err))).Inc()
 		if err == nil {
 			return runStarted
 		}
@@ -185,21 +185,6 @@
 	return runDoubtful
 }
 
-// outcomeOf names what came of an order.
-func outcomeOf(err error) string {
-	switch {
-	case err == nil:
-		return "taken"
-	case errors.Is(err, ErrFenced):
-		return "fenced"
-	case errors.Is(err, ErrRefused):
-		return "refused"
-	case errors.Is(err, ErrOtherLifetime):
-		return "other-lifetime"
-	}
-	return "unanswered"
-}
-
 // note takes the clock of an answer, or counts that there was none.
 func (d *driver) note(clock Clock, err error) {
 	d.mu.Lock()
@@ -235,7 +220,11 @@
 	if !d.leader.mayOrder() {
 		return
 	}
-	clock, err := d.leader.part.targets.Stop(ctx, &d.target, key.task, key.run, d.leader.token())
+	clock, err := d.leader.targets.Stop(ctx, &d.target, Stop{
+		Task:  key.task,
+		Run:   key.run,
+		Token: d.leader.token(),
+	})
 	d.note(clock, err)
 	if errors.Is(err, ErrFenced) {
 		d.leader.deposed()
--- a/internal/push/pace.go
+++ b/internal/push/pace.go
@@ -51,7 +51,7 @@
 func (d *driver) sendPace(key runKey, percent int) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
 	defer cancel()
-	clock, err := d.leader.part.targets.Pace(ctx, &d.target, Pace{
+	clock, err := d.leader.targets.Pace(ctx, &d.target, Pace{
 		Task:    key.task,
 		Run:     key.run,
 		Percent: percent,
--- a/internal/push/port.go
+++ b/internal/push/port.go
@@ -39,6 +39,13 @@
 	Token    uint64
 }
 
+// Stop orders a run to stop.
+type Stop struct {
+	Task  graph.TaskRef
+	Run   uint32
+	Token uint64
+}
+
 // Hold renews the target's lease and asks what runs there.
 type Hold struct {
 	// Deadline is zero where the lease is not to be renewed.
@@ -83,7 +90,7 @@
 // answered.
 type Targets interface {
 	Start(ctx context.Context, t *graph.Target, order Start) (Clock, error)
-	Stop(ctx context.Context, t *graph.Target, task graph.TaskRef, run uint32, token uint64) (Clock, error)
+	Stop(ctx context.Context, t *graph.Target, order Stop) (Clock, error)
 	Hold(ctx context.Context, t *graph.Target, order Hold) (Listing, error)
 	Pace(ctx context.Context, t *graph.Target, order Pace) (Clock, error)
 	// Forget closes what is open to the lifetime.
