--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -5,6 +5,7 @@
 package group
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"os"
@@ -37,6 +38,8 @@
 	Domain string
 	// Address is where peers reach the instance.
 	Address string
+	// Listen is where it listens, if that is another address.
+	Listen string
 	// Seeds are the addresses of the first voters of a new group, the same
 	// for all, and the first places to ask for the leader later.
 	Seeds []string
@@ -80,7 +83,7 @@
 // until Run.
 func NewHost(cfg Config, machine raft.StateMachine, log *logrus.Logger) (*Host, error) {
 	traffic := &peer.Traffic{}
-	server, err := peer.Listen(cfg.Address, nil, traffic)
+	server, err := peer.Listen(cmp.Or(cfg.Listen, cfg.Address), nil, traffic)
 	if err != nil {
 		return nil, errors.Wrap(err, "group")
 	}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -78,6 +78,10 @@
 		return fault
 	}
 	if now := l.part.ledger.Config(); now != nil && now.Version >= c.Version {
+		l.log.WithFields(logrus.Fields{
+			"version":  c.Version,
+			"in-force": now.Version,
+		}).Info("config: no newer than the one in force")
 		return nil
 	}
 	if _, fault := l.propose(ctx, graph.Command{Config: c}); fault != nil {
