--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -270,6 +270,12 @@
 	Waiting int
 	Targets int
 	Version int64
+	// Oldest is when the oldest job was admitted of which nothing has been
+	// placed; zero is none.
+	Oldest Millis
+	// Used is the room that runs take of the targets' Capacity.
+	Used     quota.Room
+	Capacity quota.Room
 }
 
 // Counts returns the sums now.
@@ -285,6 +291,13 @@
 	}
 	for _, job := range l.live {
 		c.Waiting += job.Waiting
+		if !job.Begun && (c.Oldest == 0 || job.Admitted < c.Oldest) {
+			c.Oldest = job.Admitted
+		}
+	}
+	for _, target := range l.targets {
+		c.Used = c.Used.Add(target.Used)
+		c.Capacity = c.Capacity.Add(target.Capacity)
 	}
 	if l.config != nil {
 		c.Version = l.config.config.Version
--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -52,6 +52,8 @@
 	Heartbeat time.Duration
 	// Replace is how long a voter is silent before a spare takes its place.
 	Replace time.Duration
+	// Synced is told how long each write to the log took; it may be nil.
+	Synced func(time.Duration)
 }
 
 // Host is one running instance.
@@ -242,7 +244,7 @@
 		Election:  h.cfg.Election,
 		Heartbeat: h.cfg.Heartbeat,
 		Seed:      uint64(id.ID),
-	}, storage, h.transport, h.machine,
+	}, h.timed(storage), h.transport, h.machine,
 		raft.WithClock(bootClock()),
 		raft.WithSnapshotEvery(snapshotEvery),
 		raft.WithTrailing(keptEntries))
@@ -259,6 +261,32 @@
 	return nil
 }
 
+// timedStorage tells how long writes to the log take.
+type timedStorage struct {
+	raft.Storage
+
+	synced func(time.Duration)
+}
+
+// Persist appends and syncs.
+func (s *timedStorage) Persist(hard raft.HardState, entries []raft.Entry) error {
+	began := time.Now()
+	err := s.Storage.Persist(hard, entries)
+	s.synced(time.Since(began))
+	return err
+}
+
+// timed has the host's configuration told of the storage's writes.
+func (h *Host) timed(storage raft.Storage) raft.Storage {
+	if h.cfg.Synced == nil {
+		return storage
+	}
+	return &timedStorage{
+		Storage: storage,
+		synced:  h.cfg.Synced,
+	}
+}
+
 // Bootstrap makes the storage in the folder that of a first replica of a new
 // group with the members, and opens it again.
 func Bootstrap(dir string, storage *raft.DiskStorage, members raft.Membership) (*raft.DiskStorage, error) {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -149,6 +149,13 @@
 	d.usableUntil.Store(int64(until))
 }
 
+// unanswered tells whether the target did not answer the last call.
+func (d *driver) unanswered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failures > 0
+}
+
 func (d *driver) poke() {
 	select {
 	case d.wake <- struct{}{}:
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -107,7 +108,7 @@
 		started: time.Now(),
 		wake:    make(chan struct{}, 1),
 		rater:   rating.NewRater[plan.StepKey, graph.TargetID](),
-		waits:   newWaits(p.log.WithField("term", term)),
+		waits:   newWaits(p.log.WithField("term", term), p.metrics.waiting),
 		pending: map[graph.TaskRef]graph.TargetID{},
 
 		admittedAt: map[graph.JobID]time.Time{},
@@ -330,6 +331,13 @@
 	return l.drivers[id]
 }
 
+// all returns the drivers that there are now.
+func (l *leader) all() []*driver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.drivers))
+}
+
 // drive starts a driver for the target, unless there is one.
 func (l *leader) drive(t graph.Target) *driver {
 	l.mu.Lock()
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -240,13 +240,7 @@
 
 // stopUnwanted stops the runs that should not go on.
 func (l *leader) stopUnwanted() {
-	l.mu.Lock()
-	drivers := make([]*driver, 0, len(l.drivers))
-	for _, d := range l.drivers {
-		drivers = append(drivers, d)
-	}
-	l.mu.Unlock()
-	for _, d := range drivers {
+	for _, d := range l.all() {
 		for _, order := range l.part.ledger.Orders(d.target.ID) {
 			if !order.Wanted {
 				d.stop(keyOf(order.Task, order.Run))
--- a/internal/push/part.go
+++ b/internal/push/part.go
@@ -25,6 +25,9 @@
 	log     *logrus.Logger
 	metrics *metrics
 	lead    atomic.Pointer[leader]
+	// configured is when the configuration came into force here, in milliseconds
+	// of the time of day.
+	configured atomic.Int64
 }
 
 var _ raft.StateMachine = (*Part)(nil)
@@ -41,6 +44,10 @@
 		metrics: newMetrics(),
 	}
 	p.metrics.gauges(p.ledger)
+	p.Watch("jasmineward_targets_silent", "Targets that did not answer this leader's last call.", p.silent)
+	p.Watch("jasmineward_configuration_age_seconds", "Time since the configuration came into force here.",
+		func() float64 { return ageOf(graph.Millis(p.configured.Load()), time.Now()) })
+	cfg.Synced = func(took time.Duration) { p.metrics.sync.Observe(took.Seconds()) }
 	host, err := group.NewHost(cfg, p, log)
 	if err != nil {
 		return nil, err
@@ -80,6 +87,7 @@
 	}
 	result := p.ledger.Apply(command)
 	if command.Config != nil {
+		p.configured.Store(time.Now().UnixMilli())
 		p.log.WithField("version", command.Config.Version).Info("config: in the log")
 	}
 	return result
@@ -92,6 +100,7 @@
 
 // Restore replaces the state.
 func (p *Part) Restore(state []byte) error {
+	p.configured.Store(time.Now().UnixMilli())
 	return p.ledger.Restore(state)
 }
 
@@ -99,11 +108,27 @@
 func (p *Part) Leading(term uint64) {
 	p.log.WithField("term", term).Info("sched: leading")
 	p.metrics.leading.Set(1)
+	p.metrics.won.Inc()
 	l := newLeader(p, term)
 	p.lead.Store(l)
 	l.start()
 }
 
+// silent counts the targets that did not answer when last called.
+func (p *Part) silent() float64 {
+	l := p.lead.Load()
+	if l == nil {
+		return 0
+	}
+	count := 0.0
+	for _, d := range l.all() {
+		if d.unanswered() {
+			count++
+		}
+	}
+	return count
+}
+
 // Following stops the leader's work.
 func (p *Part) Following() {
 	p.log.Info("sched: no longer leading")
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -270,6 +270,14 @@
 		"jasmineward_first_start_seconds_count 1",
 		"jasmineward_jobs_live 0",
 		"jasmineward_configuration_version 1",
+		"jasmineward_elections_won_total 1",
+		"jasmineward_pending_age_seconds 0",
+		"jasmineward_cores 4",
+		"jasmineward_cores_used 0",
+		"jasmineward_targets_silent 0",
+		"jasmineward_configuration_age_seconds ",
+		"jasmineward_log_sync_seconds_count",
+		`jasmineward_calls_to_targets_total{way="direct"}`,
 	} {
 		s.c.Check(text, qt.Contains, line)
 	}
--- a/internal/push/waits.go
+++ b/internal/push/waits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/plan"
@@ -22,19 +23,23 @@
 // waits writes a line when a step waits for some time, once a reason. It is
 // used by the deciding goroutine alone.
 type waits struct {
-	log   *logrus.Entry
+	log *logrus.Entry
+	// gauge counts the steps of the last decision by reason.
+	gauge *prometheus.GaugeVec
 	steps map[plan.StepKey]*wait
 }
 
-func newWaits(log *logrus.Entry) *waits {
+func newWaits(log *logrus.Entry, gauge *prometheus.GaugeVec) *waits {
 	return &waits{
 		log:   log,
+		gauge: gauge,
 		steps: map[plan.StepKey]*wait{},
 	}
 }
 
 // note takes the reasons of one decision.
 func (w *waits) note(now time.Time, reasons map[plan.StepKey]plan.Reason) {
+	w.count(reasons)
 	for step := range w.steps {
 		if _, still := reasons[step]; !still {
 			delete(w.steps, step)
@@ -61,3 +66,11 @@
 		}).Info("sched: waits")
 	}
 }
+
+// count sets how many steps wait for each reason.
+func (w *waits) count(reasons map[plan.StepKey]plan.Reason) {
+	w.gauge.Reset()
+	for _, reason := range reasons {
+		w.gauge.WithLabelValues(string(reason)).Inc()
+	}
+}
