--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -103,7 +103,8 @@
 	Capacity quota.Room
 	Labels   []string
 	Rack     string
-	Leaving  bool
+	// Leaving targets get no new work.
+	Leaving bool
 }
 
 // Gone ends lifetimes. Its proposer vouches that they run nothing any more.
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -203,17 +203,9 @@
 
 // Target is one lifetime of a target.
 type Target struct {
-	ID       TargetID
-	Service  string
-	Machine  string
-	Address  string
-	Domain   string
-	Capacity quota.Room
-	Labels   []string
-	Rack     string
-	// Leaving targets get no new work.
-	Leaving bool
-	Used    quota.Room
+	Announce
+
+	Used quota.Room
 	// Runs are those that the target may hold.
 	Runs map[TaskRef]Held
 }
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -180,20 +180,12 @@
 func (l *Ledger) announce(a *Announce) {
 	t := l.targets[a.ID]
 	if t == nil {
-		t = &Target{
-			ID:   a.ID,
-			Runs: map[TaskRef]Held{},
-		}
+		t = &Target{Runs: map[TaskRef]Held{}}
 		l.targets[a.ID] = t
 	}
-	t.Service = a.Service
-	t.Machine = a.Machine
-	t.Address = a.Address
-	t.Domain = a.Domain
-	t.Capacity = a.Capacity
-	t.Labels = a.Labels
-	t.Rack = a.Rack
-	t.Leaving = t.Leaving || a.Leaving
+	leaving := t.Leaving || a.Leaving
+	t.Announce = *a
+	t.Leaving = leaving
 }
 
 // gone ends a lifetime: none of its runs goes on.
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -415,14 +415,17 @@
 	return quota.Room{CPU: m}
 }
 
-func TestAttemptsUsedUp(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	submitOne(l, "a", Step{
+// oneTask is a step of one task.
+func oneTask() Step {
+	return Step{
 		Count: 1,
 		Room:  cpu(1000),
-	})
-	ref := TaskRef{Job: "a"}
+	}
+}
+
+func TestAttemptsUsedUp(t *testing.T) {
+	c, l, ref := qt.New(t), newTestLedger(), TaskRef{Job: "a"}
+	submitOne(l, "a", oneTask())
 	for run := uint32(1); run <= 2; run++ {
 		c.Assert(place(l, 1, "w0", run, ref), qt.Equals, Refusal(""))
 		end(l, "w0", run, HowFailed, ref)
@@ -465,26 +468,16 @@
 
 // Where a step may not be copied, asking for it changes nothing.
 func TestNoCopyWhereNoneIsAllowed(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	submitOne(l, "a", Step{
-		Count: 1,
-		Room:  cpu(1000),
-	})
-	ref := TaskRef{Job: "a"}
+	c, l, ref := qt.New(t), newTestLedger(), TaskRef{Job: "a"}
+	submitOne(l, "a", oneTask())
 	c.Assert(place(l, 1, "w0", 1, ref), qt.Equals, Refusal(""))
 	l.Apply(Command{Copy: &Copy{Tasks: []TaskRef{ref}}})
 	c.Assert(place(l, 1, "w1", 2, ref), qt.Equals, RefusedState)
 }
 
 func TestLostRunsAreNoAttempts(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	submitOne(l, "a", Step{
-		Count: 1,
-		Room:  cpu(1000),
-	})
-	ref := TaskRef{Job: "a"}
+	c, l, ref := qt.New(t), newTestLedger(), TaskRef{Job: "a"}
+	submitOne(l, "a", oneTask())
 	for run := uint32(1); run <= 5; run++ {
 		c.Assert(place(l, 1, "w0", run, ref), qt.Equals, Refusal(""))
 		end(l, "w0", run, HowLapsed, ref)
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -192,10 +192,14 @@
 	s := newScene(t, true, "w0")
 	// A driver whose own renewals do not run: they would forget a run that the
 	// ledger does not have.
-	d := newDriver(s.part.lead.Load(), graph.Target{ID: graph.TargetID{
-		ID:   "w0",
-		Born: 1,
-	}})
+	d := newDriver(s.part.lead.Load(), graph.Target{
+		Announce: graph.Announce{
+			ID: graph.TargetID{
+				ID:   "w0",
+				Born: 1,
+			},
+		},
+	})
 	order := graph.Order{
 		Task:   graph.TaskRef{Job: "a"},
 		Run:    1,
--- a/internal/push/relay.go
+++ b/internal/push/relay.go
@@ -300,8 +300,10 @@
 // carryOut makes the call that the order asks for.
 func carryOut(ctx context.Context, targets Targets, args *OrderArgs) (OrderReply, error) {
 	t := &graph.Target{
-		ID:      args.ID,
-		Address: args.Address,
+		Announce: graph.Announce{
+			ID:      args.ID,
+			Address: args.Address,
+		},
 	}
 	var reply OrderReply
 	var err error
