Send a start that gets no answer again as soon as answers usually come

Ruled out for the late jobs of those seconds: targets that fail more than others (failures are spread as by chance, dispersion 1.02 to 1.13); speeds learned too slowly (estimates of steps are off by a factor of 2 and more, so they cannot replace comparisons of siblings; speeds are learned within some 4 runs of a target, as their noise allows). Change: pkg/delay (mean and spread of answers' times, RFC 6298); the first answer to a start is waited for that long, 0.1 s at least; one that is lost does not count against the target. A run starts once however often its start is sent. The fake fleet now leaves a swallowed start unanswered, where it had answered with an error.

--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -57,11 +57,13 @@
 	work    time.Duration
 	// stopTakes is how long a stopped run is in neither list.
 	stopTakes time.Duration
-	tickets   bool
-	starts    []Start
-	refused   int
-	twice     []string
-	good      map[string]string
+	// lateBy is how much later swallowed starts are carried out.
+	lateBy  time.Duration
+	tickets bool
+	starts  []Start
+	refused int
+	twice   []string
+	good    map[string]string
 	// hang is a task whose first run stands still.
 	hang graph.TaskRef
 }
@@ -135,11 +137,14 @@
 	f.starts = append(f.starts, order)
 	if target.swallow > 0 {
 		target.swallow--
-		time.AfterFunc(600*time.Millisecond, func() {
+		time.AfterFunc(f.lateBy, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			_ = f.take(target, t.ID.ID, order)
 		})
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
 		return 0, ErrUnanswered
 	}
 	return target.clock(), f.take(target, t.ID.ID, order)
@@ -285,6 +290,7 @@
 	fleet := &fakeFleet{
 		targets: map[string]*fakeTarget{},
 		work:    100 * time.Millisecond,
+		lateBy:  600 * time.Millisecond,
 		tickets: advice,
 		good:    map[string]string{},
 	}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -16,6 +16,7 @@
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/delay"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 	"github.com/jasmineward/jasmineward/pkg/rating"
 )
@@ -79,6 +80,8 @@
 
 	rater *rating.Rater[plan.StepKey, graph.TargetID]
 	waits *waits
+	// startTimes are those of answers to starts.
+	startTimes *delay.Estimator
 
 	mu sync.Mutex
 	// pending are placements on their way into the log; proposing counts
@@ -113,6 +116,8 @@
 
 		admittedAt: map[graph.JobID]time.Time{},
 
+		startTimes: delay.NewEstimator(leastStartWait, p.terms.Call),
+
 		drivers: map[graph.TargetID]*driver{},
 		newest:  map[string]int64{},
 		over:    map[graph.TargetID]bool{},
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -15,6 +15,8 @@
 const (
 	// startTries is how often a start without an answer is sent.
 	startTries = 3
+	// leastStartWait is how long the first answer is waited for at least.
+	leastStartWait = 100 * time.Millisecond
 	// startLanes is how many starts may be on their way to a target, so that
 	// a wide step does not open a connection for each of its tasks.
 	startLanes = 3
@@ -150,8 +152,7 @@
 			}
 			continue
 		}
-		ctx, cancel := context.WithTimeout(d.ctx, d.leader.part.terms.Call)
-		clock, err := d.leader.targets.Start(ctx, &d.target, Start{
+		err := d.callStart(Start{
 			Task:     key.task,
 			Run:      key.run,
 			Payload:  order.Payload,
@@ -159,10 +160,7 @@
 			Ticket:   ticket,
 			Deadline: deadline,
 			Token:    d.leader.token(),
-		})
-		cancel()
-		d.note(clock, err)
-		d.leader.part.metrics.orders.WithLabelValues(string(outcomeOf(err))).Inc()
+		}, unanswered)
 		if err == nil {
 			return runStarted
 		}
@@ -185,6 +183,29 @@
 	return runDoubtful
 }
 
+// callStart sends the order once. The first answer is waited for no longer than
+// answers take now: the order may be sent again at once, as a run starts only
+// once. One that is lost says little about the target.
+func (d *driver) callStart(order Start, again bool) error {
+	wait := d.leader.part.terms.Call
+	if !again {
+		wait = min(wait, d.leader.startTimes.Limit()+relaySlack)
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, wait)
+	defer cancel()
+	sent := time.Now()
+	clock, err := d.leader.targets.Start(ctx, &d.target, order)
+	d.leader.part.metrics.orders.WithLabelValues(string(outcomeOf(err))).Inc()
+	lost := errors.Is(err, ErrUnanswered)
+	if !lost {
+		d.leader.startTimes.Seen(time.Since(sent))
+	}
+	if again || !lost {
+		d.note(clock, err)
+	}
+	return err
+}
+
 // note takes the clock of an answer, or counts that there was none.
 func (d *driver) note(clock Clock, err error) {
 	d.mu.Lock()
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -358,3 +358,26 @@
 	s.c.Assert(time.Since(began) < terms.TTL/2, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	s.never()
 }
+
+// Pattern: a start gets no answer in a burst, where others are answered within
+// milliseconds. It is sent again at once, not after the longest wait.
+func TestLostStartIsSentAgainSoon(t *testing.T) {
+	terms := testTerms()
+	terms.Call = 2 * time.Second
+	s := newSceneWith(t, terms, false, "w0")
+	s.submit("a", tasks(3))
+	s.eventually(patience, "first job completed", func() bool {
+		return s.state("a") == graph.StateCompleted
+	})
+	s.fleet.read(func() {
+		s.fleet.targets["w0"].swallow = 1
+		s.fleet.lateBy = 2 * terms.Call
+	})
+	began := time.Now()
+	s.submit("b", tasks(1))
+	s.eventually(patience, "second job completed", func() bool {
+		return s.state("b") == graph.StateCompleted
+	})
+	s.c.Assert(time.Since(began) < terms.Call, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	s.never()
+}
