Judge no target by a leader that may not lead any more

The line was written before the commit. Ruled out: that a lifetime was ended; the new leader's log has none of them. Change: a driver judges only while its leader may order; the line comes after the commit, and an end that was not committed has a line of its own. Test: TestDeposedLeaderEndsNoLifetime (fails before).

--- a/internal/push/hold.go
+++ b/internal/push/hold.go
@@ -153,6 +153,11 @@
 	if d.ctx.Err() != nil {
 		return true
 	}
+	// One that may not lead any more, such as after it was suspended, judges no
+	// target by answers that came too late.
+	if !d.leader.mayOrder() {
+		return false
+	}
 	// An address has one process, so the one that had it before is gone.
 	if errors.Is(err, ErrOtherLifetime) {
 		return d.leader.end("another lifetime has its address", d.target.ID) == nil
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -372,19 +372,22 @@
 
 // end commits that the lifetimes run nothing any more.
 func (l *leader) end(why string, ids ...graph.TargetID) *wire.Fault {
-	for _, id := range ids {
-		l.log.WithFields(logrus.Fields{
-			"target": id.ID,
-			"born":   id.Born,
-			"why":    why,
-		}).Info("target: lifetime over")
-	}
 	result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.Gone{Targets: ids}})
 	if fault != nil {
+		l.log.WithFields(logrus.Fields{
+			"targets": len(ids),
+			"why":     why,
+			"fault":   fault.Error(),
+		}).Warn("target: end of lifetime not committed")
 		return fault
 	}
 	l.logFinished(result.Finished)
 	for _, id := range ids {
+		l.log.WithFields(logrus.Fields{
+			"target": id.ID,
+			"born":   id.Born,
+			"why":    why,
+		}).Info("target: lifetime over")
 		l.drop(id)
 	}
 	return nil
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -381,3 +381,17 @@
 	s.c.Assert(time.Since(began) < terms.Call, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	s.never()
 }
+
+// A leader that was suspended finds its calls lost when it wakes up. It must
+// not take that for the silence of its targets.
+func TestDeposedLeaderEndsNoLifetime(t *testing.T) {
+	s := newScene(t, false, "w0")
+	l := s.part.lead.Load()
+	d := newDriver(l, s.part.ledger.Targets()[0])
+	d.leased = time.Now().Add(-time.Second)
+	d.beatAt = d.leased
+	l.fenced.Store(true)
+	s.c.Assert(d.failed(ErrUnanswered), qt.IsFalse)
+	s.c.Assert(d.unanswered(), qt.IsFalse)
+	s.c.Assert(s.part.ledger.Targets(), qt.HasLen, 1)
+}
