--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -262,3 +262,14 @@
 		})
 	}
 }
+
+// What is known of a target's way goes with its lifetime.
+func TestForgottenTargetsLeaveNothing(t *testing.T) {
+	s := newScene(t, false, "w0")
+	l := s.part.lead.Load()
+	target := s.part.ledger.Targets()[0]
+	l.relays.unreached(&target)
+	s.c.Assert(l.relays.avoid, qt.HasLen, 1)
+	l.drop(target.ID)
+	s.c.Assert(l.relays.avoid, qt.HasLen, 0)
+}
