--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -18,12 +18,6 @@
 	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
-const (
-	logFolder     = "log"
-	snapshotEvery = 4000
-	keptEntries   = 1000
-)
-
 // Config sets up a host.
 type Config struct {
 	// Name must not change while the instance lives on.
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -17,6 +17,13 @@
 	"github.com/jasmineward/jasmineward/pkg/walog"
 )
 
+const (
+	logFolder     = "log"
+	// snapshotEvery and keptEntries are counts of log entries.
+	snapshotEvery = 4000
+	keptEntries   = 1000
+)
+
 // open starts the replica of a data folder that has one, or the first replica
 // of a new group.
 func (h *Host) open() error {
