--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	logFolder     = "log"
+	logFolder = "log"
 	// snapshotEvery and keptEntries are counts of log entries.
 	snapshotEvery = 4000
 	keptEntries   = 1000
