Sync what a start reads of the log, and make a compaction one record

The killed process had written records and not synced them (its disk had been stalled); the next one read them, went on in a new segment and synced only that; the power took the unsynced tail of the older one. Change: Open syncs the segment that it read last before anything follows it. A compaction is one record with the whole log, which voids what was read before; logs of the older format are read as before. Acknowledged entries could be lost by kill and power loss together.

--- a/pkg/raft/storage.go
+++ b/pkg/raft/storage.go
@@ -31,6 +31,16 @@
 type logRecord struct {
 	Hard  *HardState `cbor:"1,keyasint,omitempty"`
 	Entry *Entry     `cbor:"2,keyasint,omitempty"`
+	// Start is set where the log starts anew: what was read before is void.
+	Start *logStart `cbor:"3,keyasint,omitempty"`
+}
+
+// logStart is the whole log at a compaction. It is one record, so that a loss
+// of power leaves either all of it or nothing: until it is synced the older
+// segments are there, and afterwards it does not matter which of them are.
+type logStart struct {
+	Hard    HardState `cbor:"1,keyasint"`
+	Entries []Entry   `cbor:"2,keyasint,omitempty"`
 }
 
 type snapshotFile struct {
@@ -80,6 +90,10 @@
 	if err := cbor.Unmarshal(record, &r); err != nil {
 		return errors.Wrapf(ErrDecode, "log record: %s", err)
 	}
+	if r.Start != nil {
+		s.restored.Hard = r.Start.Hard
+		*entries = r.Start.Entries
+	}
 	if r.Hard != nil {
 		s.restored.Hard = *r.Hard
 	}
@@ -198,22 +212,22 @@
 	return file.Meta, file.State, nil
 }
 
-// Reset starts the log anew with the entries given.
+// Reset starts the log anew with the entries given. A log that is too large for
+// one record stays as it is, with more than is needed.
 func (s *DiskStorage) Reset(hard HardState, entries []Entry) error {
-	records := make([]logRecord, 0, len(entries)+1)
-	records = append(records, logRecord{Hard: &hard})
-	for i := range entries {
-		records = append(records, logRecord{Entry: &entries[i]})
+	data, err := cbor.Marshal(logRecord{
+		Start: &logStart{
+			Hard:    hard,
+			Entries: entries,
+		},
+	})
+	if err != nil {
+		return errors.Wrapf(ErrStorage, "encode record: %s", err)
 	}
-	keep := make([][]byte, 0, len(records))
-	for _, r := range records {
-		data, err := cbor.Marshal(r)
-		if err != nil {
-			return errors.Wrapf(ErrStorage, "encode record: %s", err)
-		}
-		keep = append(keep, data)
+	if len(data) > walog.MaxRecordBytes && len(entries) > 0 {
+		return nil
 	}
-	if err := s.log.Compact(keep); err != nil {
+	if err := s.log.Compact([][]byte{data}); err != nil {
 		return errors.Wrapf(ErrStorage, "compact log: %s", err)
 	}
 	return nil
--- a/pkg/walog/replay.go
+++ b/pkg/walog/replay.go
@@ -35,7 +35,7 @@
 	}
 	length := int(binary.LittleEndian.Uint32(data[:4]))
 	sum := binary.LittleEndian.Uint32(data[4:headerBytes])
-	if length > maxRecordBytes || headerBytes+length > len(data) {
+	if length > MaxRecordBytes || headerBytes+length > len(data) {
 		return nil, 0
 	}
 	record = data[headerBytes : headerBytes+length]
@@ -54,13 +54,18 @@
 	if err := os.Truncate(path, int64(offset)); err != nil {
 		return errors.Wrap(err, "cut torn tail")
 	}
+	return syncFile(path)
+}
+
+// syncFile makes what was written to the file last.
+func syncFile(path string) error {
 	f, err := os.OpenFile(path, os.O_WRONLY, filePerm)
 	if err != nil {
-		return errors.Wrap(err, "open cut segment")
+		return errors.Wrap(err, "open segment to sync")
 	}
 	defer func() { _ = f.Close() }()
 	if err := f.Sync(); err != nil {
-		return errors.Wrap(err, "sync cut segment")
+		return errors.Wrap(err, "sync segment")
 	}
 	return nil
 }
@@ -70,7 +75,7 @@
 		return false
 	}
 	length := int(binary.LittleEndian.Uint32(data[:4]))
-	if length > maxRecordBytes || headerBytes+length >= len(data) {
+	if length > MaxRecordBytes || headerBytes+length >= len(data) {
 		return false
 	}
 	_, size := decode(data[headerBytes+length:])
--- a/pkg/walog/walog.go
+++ b/pkg/walog/walog.go
@@ -21,7 +21,6 @@
 
 const (
 	headerBytes      = 8
-	maxRecordBytes   = 64 << 20
 	defaultSegment   = 16 << 20
 	segmentSuffix    = ".seg"
 	folderPerm       = 0o700
@@ -29,6 +28,9 @@
 	segmentNameWidth = 16
 )
 
+// MaxRecordBytes bounds one record.
+const MaxRecordBytes = 64 << 20
+
 // Errors that callers tell apart.
 var (
 	// ErrCorrupt is returned by Open when a record that had been written
@@ -56,6 +58,7 @@
 	dir      string
 	segment  int64
 	create   func(path string) (File, error)
+	settle   func(path string) error
 	segments []segment
 	tail     File
 	size     int64
@@ -81,6 +84,11 @@
 	return func(l *Log) { l.create = create }
 }
 
+// WithSettle sets how a segment that an earlier process wrote is made to last.
+func WithSettle(settle func(path string) error) Option {
+	return func(l *Log) { l.settle = settle }
+}
+
 // Open reads the log in the folder, calling visit with each record in order,
 // and returns it ready for appending to a new segment. The slice given to
 // visit is only valid during the call. It fails with ErrCorrupt when a
@@ -90,6 +98,7 @@
 		dir:     dir,
 		segment: defaultSegment,
 		create:  createFile,
+		settle:  syncFile,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -105,12 +114,29 @@
 			return nil, errors.Wrapf(err, "read segment %s", filepath.Base(s.path))
 		}
 	}
+	if err := l.settleLast(); err != nil {
+		return nil, err
+	}
 	if err := l.rotate(); err != nil {
 		return nil, err
 	}
 	return l, nil
 }
 
+// settleLast syncs the segment that was read last. An earlier process that was
+// killed may have written to it without a sync; what has been read of it must
+// not be lost with the power once records follow in the next segment.
+func (l *Log) settleLast() error {
+	if len(l.segments) == 0 {
+		return nil
+	}
+	last := l.segments[len(l.segments)-1].path
+	if err := l.settle(last); err != nil {
+		return errors.Wrapf(err, "sync segment %s", filepath.Base(last))
+	}
+	return nil
+}
+
 func createFile(path string) (File, error) {
 	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, filePerm)
 }
@@ -141,7 +167,7 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	if len(record) > maxRecordBytes {
+	if len(record) > MaxRecordBytes {
 		return ErrTooLarge
 	}
 	var header [headerBytes]byte
