--- a/pkg/raft/storage.go
+++ b/pkg/raft/storage.go
@@ -225,7 +225,7 @@
 		return errors.Wrapf(ErrStorage, "encode record: %s", err)
 	}
 	if len(data) > walog.MaxRecordBytes && len(entries) > 0 {
-		return nil
+		return s.Persist(hard, nil)
 	}
 	if err := s.log.Compact([][]byte{data}); err != nil {
 		return errors.Wrapf(ErrStorage, "compact log: %s", err)
--- a/pkg/raft/storage_test.go
+++ b/pkg/raft/storage_test.go
@@ -133,3 +133,25 @@
 	_, err = raft.OpenDisk(dir)
 	c.Assert(err, qt.ErrorIs, raft.ErrStorage)
 }
+
+// A log that does not fit into one record is not compacted, and loses nothing.
+func TestLogTooLargeForOneRecord(t *testing.T) {
+	c := qt.New(t)
+	dir := t.TempDir()
+	disk, err := raft.OpenDisk(dir)
+	c.Assert(err, qt.IsNil)
+	entries := entriesFrom(1, 66, 1)
+	for i := range entries {
+		entries[i].Data = make([]byte, 1<<20)
+	}
+	c.Assert(disk.Persist(raft.HardState{Term: 1}, entries), qt.IsNil)
+	c.Assert(disk.Reset(raft.HardState{Term: 2}, entries), qt.IsNil)
+	c.Assert(disk.Close(), qt.IsNil)
+	disk, err = raft.OpenDisk(dir)
+	c.Assert(err, qt.IsNil)
+	restored, _, err := disk.Load()
+	c.Assert(err, qt.IsNil)
+	c.Assert(restored.Hard.Term, qt.Equals, uint64(2))
+	c.Assert(restored.Entries, qt.HasLen, len(entries))
+	c.Assert(disk.Close(), qt.IsNil)
+}
