Say once what the whole change had written twice

The step of a task was built in plan and in push, and back again in two more places; a member's address was looked up alike in group and node; a torn log was synced when it was cut and again by Open; gauges were registered in two ways; a decision read the clock once for each target. Ruled out: one list of live relays derived at each order instead of kept; it would put a search of all members on the way of every order. Change: plan.StepOf and StepKey.Task, peer.Contacts.AddressOf, metrics.watch; the cut is synced by Open alone; a decision passes its own time on. No change of behaviour. Conclusion: left as they are: stand-in targets in memory and on the wire (two ports).

--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -204,13 +204,5 @@
 
 // addressOf returns where a replica is reached, or "".
 func (h *Host) addressOf(id raft.ID) string {
-	replica := h.replica.Load()
-	if replica == nil {
-		return ""
-	}
-	member, _ := replica.Status().Membership.Find(id)
-	if member.Address == "" {
-		member, _ = h.router.Members().Find(id)
-	}
-	return member.Address
+	return h.router.AddressOf(h.replica.Load(), id)
 }
--- a/internal/node/folder.go
+++ b/internal/node/folder.go
@@ -120,13 +120,5 @@
 
 // addressOf returns where a replica is reached, or "".
 func (n *Node) addressOf(id raft.ID) string {
-	replica := n.replica.Load()
-	if replica == nil {
-		return ""
-	}
-	member, _ := replica.Status().Membership.Find(id)
-	if member.Address == "" {
-		member, _ = n.router.Members().Find(id)
-	}
-	return member.Address
+	return n.router.AddressOf(n.replica.Load(), id)
 }
--- a/internal/peer/contacts.go
+++ b/internal/peer/contacts.go
@@ -134,6 +134,19 @@
 	c.members = m
 }
 
+// AddressOf returns where the member is reached, or "": by what the replica
+// knows, which may be nil, or else by the newest membership heard of.
+func (c *Contacts) AddressOf(replica *raft.Replica, id raft.ID) string {
+	if replica == nil {
+		return ""
+	}
+	member, _ := replica.Status().Membership.Find(id)
+	if member.Address == "" {
+		member, _ = c.Members().Find(id)
+	}
+	return member.Address
+}
+
 // Close closes the clients.
 func (c *Contacts) Close() {
 	c.mu.Lock()
--- a/internal/plan/ask.go
+++ b/internal/plan/ask.go
@@ -46,7 +46,7 @@
 
 // waits tells whether a task is neither placed nor about to be.
 func (p *planner) waits(r *round, index int) bool {
-	_, pending := p.in.Pending[r.ref(index)]
+	_, pending := p.in.Pending[r.key.Task(index)]
 	return !pending && r.tasks[index].State == graph.TaskWaiting
 }
 
@@ -54,7 +54,7 @@
 func (p *planner) copies(r *round, s *slot) int {
 	most := r.step.Count
 	if r.step.Spread > 0 {
-		most = r.step.Spread - s.target.CountOf(r.ref(0)) - s.placed[r.key]
+		most = r.step.Spread - s.target.CountOf(r.key.Task(0)) - s.placed[r.key]
 	}
 	return min(most, r.step.Takes().Copies(s.free))
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -35,7 +35,7 @@
 	}
 	for i := range r.tasks {
 		task := &r.tasks[i]
-		ref := r.ref(i)
+		ref := r.key.Task(i)
 		if !p.waits(r, i) || task.Held >= r.step.MostRuns() {
 			continue
 		}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -24,6 +24,25 @@
 	Step       int
 }
 
+// StepOf returns the step of a task.
+func StepOf(ref graph.TaskRef) StepKey {
+	return StepKey{
+		Job:        ref.Job,
+		Occurrence: ref.Occurrence,
+		Step:       ref.Step,
+	}
+}
+
+// Task returns the name of a task of the step.
+func (k StepKey) Task(index int) graph.TaskRef {
+	return graph.TaskRef{
+		Job:        k.Job,
+		Occurrence: k.Occurrence,
+		Step:       k.Step,
+		Index:      index,
+	}
+}
+
 // Ticket lets the tasks of a step start on a target until it runs out.
 type Ticket struct {
 	Value string
--- a/internal/plan/round.go
+++ b/internal/plan/round.go
@@ -66,16 +66,6 @@
 	return all
 }
 
-// ref returns the name of a task of the round.
-func (r *round) ref(index int) graph.TaskRef {
-	return graph.TaskRef{
-		Job:        r.key.Job,
-		Occurrence: r.key.Occurrence,
-		Step:       r.key.Step,
-		Index:      index,
-	}
-}
-
 // aim returns how long the job should take at most, by its own estimates.
 func aim(job *graph.Job, queue *graph.Queue) graph.Millis {
 	longest := make([]graph.Millis, len(job.Spec.Steps))
--- a/internal/plan/slot.go
+++ b/internal/plan/slot.go
@@ -101,15 +101,7 @@
 		p.used[job.Tenant] = p.used[job.Tenant].Add(step.Room)
 		if s := p.byID[id.ID]; s != nil {
 			s.free = s.free.Sub(step.Takes())
-			s.count(keyOf(ref), 1)
+			s.count(StepOf(ref), 1)
 		}
 	}
 }
-
-func keyOf(ref graph.TaskRef) StepKey {
-	return StepKey{
-		Job:        ref.Job,
-		Occurrence: ref.Occurrence,
-		Step:       ref.Step,
-	}
-}
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 )
@@ -189,11 +188,7 @@
 func (a *advice) callAt(
 	ctx context.Context, q plan.Question, address string, limit time.Duration,
 ) (Advice, error) {
-	step := graph.TaskRef{
-		Job:        q.Step.Job,
-		Occurrence: q.Step.Occurrence,
-		Step:       q.Step.Step,
-	}
+	step := q.Step.Task(0)
 	if address == a.leader.part.host.Address() {
 		return a.leader.part.advisor.Advise(ctx, step, q.Targets)
 	}
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -62,7 +62,7 @@
 			Advice:  l.advice.of,
 			Share:   l.advice.share,
 			MayAsk:  l.advice.mayAsk,
-			Usable:  l.usable,
+			Usable:  func(id graph.TargetID) bool { return l.usable(id, now) },
 			Pending: pending,
 			Speed:   l.rater.Speed,
 		})
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, spot := range group {
-			step := stepOf(spot.Task)
+			step := plan.StepOf(spot.Task)
 			placed[step] = append(placed[step], spot.Task.Place(spot.Run)+"@"+spot.Target.ID)
 			l.send(spot, d.Tickets[spot.Task])
 		}
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -134,7 +134,7 @@
 }
 
 // usable tells whether new work may be sent to the target. A decision asks it
-// of every target, so it takes no lock.
+// of every target, so it does not take the driver's lock.
 func (d *driver) usable(now time.Time) bool {
 	return now.Sub(d.leader.started) < time.Duration(d.usableUntil.Load())
 }
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -11,9 +11,10 @@
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
-func (l *leader) usable(id graph.TargetID) bool {
+// usable tells whether new work may be sent to the target at the time.
+func (l *leader) usable(id graph.TargetID, now time.Time) bool {
 	d := l.driver(id)
-	return d != nil && d.usable(time.Now())
+	return d != nil && d.usable(now)
 }
 
 // driver returns the driver of the lifetime, or nil.
--- a/internal/push/follow.go
+++ b/internal/push/follow.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
 const (
@@ -62,7 +63,7 @@
 		switch {
 		case stands && order.Copies:
 			if d.copiedOnce(key) {
-				d.leader.rater.Failed(stepOf(r.Task), r.Task.Index, d.target.ID)
+				d.leader.rater.Failed(plan.StepOf(r.Task), r.Task.Index, d.target.ID)
 				slow = append(slow, r.Task)
 			}
 		case stands && order.Movable:
@@ -95,7 +96,7 @@
 	case foretold && done.Sub(now) < soonDone:
 		return false
 	}
-	return d.leader.rater.Stalled(stepOf(key.task), key.task.Index, stallTimes, now)
+	return d.leader.rater.Stalled(plan.StepOf(key.task), key.task.Index, stallTimes, now)
 }
 
 // copyRuns has those of the target's tasks that may be copied run elsewhere
@@ -142,7 +143,7 @@
 // move has tasks that stand still stopped, to run again elsewhere.
 func (l *leader) move(from graph.TargetID, tasks []graph.TaskRef) {
 	for _, ref := range tasks {
-		l.rater.Failed(stepOf(ref), ref.Index, from)
+		l.rater.Failed(plan.StepOf(ref), ref.Index, from)
 		l.log.WithFields(logrus.Fields{
 			"job":  ref.Job,
 			"task": ref.Name(),
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -93,14 +93,19 @@
 	return max(0, time.Duration(now.UnixMilli()-int64(at))*time.Millisecond).Seconds()
 }
 
-// Watch adds what is read when metrics are fetched.
-func (p *Part) Watch(name, help string, value func() float64) {
-	p.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+// watch adds a gauge that is read when metrics are fetched.
+func (m *metrics) watch(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: name,
 		Help: help,
 	}, value))
 }
 
+// Watch adds a gauge that is read when metrics are fetched.
+func (p *Part) Watch(name, help string, value func() float64) {
+	p.metrics.watch(name, help, value)
+}
+
 // since notes the time since the start, in seconds.
 func since(h prometheus.Histogram, start time.Time) {
 	h.Observe(time.Since(start).Seconds())
@@ -114,10 +119,7 @@
 // gauges adds what is read from the ledger when metrics are fetched.
 func (m *metrics) gauges(ledger *graph.Ledger) {
 	gauge := func(name, help string, value func(graph.Counts) float64) {
-		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: name,
-			Help: help,
-		}, func() float64 { return value(ledger.Counts()) }))
+		m.watch(name, help, func() float64 { return value(ledger.Counts()) })
 	}
 	gauge("jasmineward_jobs_live", "Jobs admitted and not over.",
 		func(c graph.Counts) float64 { return float64(c.Live) })
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -67,7 +67,7 @@
 // yet, which is its first report of progress.
 func (d *driver) started(key runKey) {
 	now := time.Now()
-	d.leader.rater.Started(stepOf(key.task), key.task.Index, d.target.ID, now)
+	d.leader.rater.Started(plan.StepOf(key.task), key.task.Index, d.target.ID, now)
 	if d.leader.part.ledger.OrderOf(d.target.ID, key.task, key.run).Saved != "" {
 		return
 	}
@@ -76,17 +76,9 @@
 	d.known(key).track.Begin(now)
 }
 
-func stepOf(ref graph.TaskRef) plan.StepKey {
-	return plan.StepKey{
-		Job:        ref.Job,
-		Occurrence: ref.Occurrence,
-		Step:       ref.Step,
-	}
-}
-
 // rate tells the rater of an end.
 func (d *driver) rate(e graph.End) {
-	step := stepOf(e.Task)
+	step := plan.StepOf(e.Task)
 	d.leader.part.metrics.ends.WithLabelValues(e.How.String()).Inc()
 	switch e.How {
 	case graph.HowDone:
--- a/pkg/walog/replay.go
+++ b/pkg/walog/replay.go
@@ -45,8 +45,8 @@
 	return record, headerBytes + length
 }
 
-// cutTail cuts a torn record off the end of the last segment. A damaged
-// record with a sound one behind it was not torn by a crash.
+// cutTail cuts a torn record off the end of the last segment, which Open then
+// syncs. A damaged record with a sound one behind it was not torn by a crash.
 func cutTail(path string, data []byte, offset int, last bool) error {
 	if !last || followed(data[offset:]) {
 		return errors.Wrapf(ErrCorrupt, "damaged record at byte %d", offset)
@@ -54,7 +54,7 @@
 	if err := os.Truncate(path, int64(offset)); err != nil {
 		return errors.Wrap(err, "cut torn tail")
 	}
-	return syncFile(path)
+	return nil
 }
 
 // syncFile makes what was written to the file last.
