--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -415,6 +415,14 @@
 	return quota.Room{CPU: m}
 }
 
+// firstOf names the first lifetime of a target.
+func firstOf(id string) TargetID {
+	return TargetID{
+		ID:   id,
+		Born: 1,
+	}
+}
+
 // oneTask is a step of one task.
 func oneTask() Step {
 	return Step{
@@ -437,14 +445,10 @@
 // A task of a step with copies goes on in two places, and the first to be done
 // counts, whichever it is.
 func TestCopyRunsBesideTheFirst(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	submitOne(l, "a", Step{
-		Count:  1,
-		Room:   cpu(1000),
-		Copies: true,
-	})
-	ref := TaskRef{Job: "a"}
+	c, l, ref := qt.New(t), newTestLedger(), TaskRef{Job: "a"}
+	step := oneTask()
+	step.Copies = true
+	submitOne(l, "a", step)
 	c.Assert(place(l, 1, "w0", 1, ref), qt.Equals, Refusal(""))
 	c.Assert(place(l, 1, "w1", 2, ref), qt.Equals, RefusedState)
 	l.Apply(Command{Copy: &Copy{Tasks: []TaskRef{ref}}})
@@ -452,18 +456,12 @@
 	c.Assert(place(l, 1, "w1", 2, ref), qt.Equals, Refusal(""))
 	l.Apply(Command{Copy: &Copy{Tasks: []TaskRef{ref}}})
 	c.Assert(place(l, 1, "w0", 3, ref), qt.Equals, RefusedState)
-	w0 := TargetID{
-		ID:   "w0",
-		Born: 1,
-	}
+	w0, w1 := firstOf("w0"), firstOf("w1")
 	c.Assert(l.OrderOf(w0, ref, 1).Wanted, qt.IsTrue)
 	end(l, "w0", 1, HowDone, ref)
 	state, _ := l.StateOf(here, "a")
 	c.Assert(state, qt.Equals, StateCompleted)
-	c.Assert(l.OrderOf(TargetID{
-		ID:   "w1",
-		Born: 1,
-	}, ref, 2).Wanted, qt.IsFalse)
+	c.Assert(l.OrderOf(w1, ref, 2).Wanted, qt.IsFalse)
 }
 
 // Where a step may not be copied, asking for it changes nothing.
@@ -577,27 +575,17 @@
 // A run of a copied task that is over is not wanted any more, though the task
 // goes on elsewhere: its start must not be sent again.
 func TestOverRunOfCopiedTaskIsNotWanted(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	submitOne(l, "a", Step{
-		Count:  1,
-		Room:   cpu(1000),
-		Copies: true,
-	})
-	ref := TaskRef{Job: "a"}
+	c, l, ref := qt.New(t), newTestLedger(), TaskRef{Job: "a"}
+	step := oneTask()
+	step.Copies = true
+	submitOne(l, "a", step)
 	c.Assert(place(l, 1, "w0", 1, ref), qt.Equals, Refusal(""))
 	l.Apply(Command{Copy: &Copy{Tasks: []TaskRef{ref}}})
 	c.Assert(place(l, 1, "w1", 2, ref), qt.Equals, Refusal(""))
-	w0 := TargetID{
-		ID:   "w0",
-		Born: 1,
-	}
+	w0, w1 := firstOf("w0"), firstOf("w1")
 	c.Assert(l.OrderOf(w0, ref, 1).Wanted, qt.IsTrue)
 	end(l, "w0", 1, HowAbsent, ref)
 	c.Check(l.OrderOf(w0, ref, 1).Wanted, qt.IsFalse)
 	c.Check(l.OrderOf(w0, ref, 2).Wanted, qt.IsFalse)
-	c.Check(l.OrderOf(TargetID{
-		ID:   "w1",
-		Born: 1,
-	}, ref, 2).Wanted, qt.IsTrue)
+	c.Check(l.OrderOf(w1, ref, 2).Wanted, qt.IsTrue)
 }
--- a/internal/push/fleet_test.go
+++ b/internal/push/fleet_test.go
@@ -279,14 +279,28 @@
 	return terms
 }
 
+// startPart starts a part in a new group of its seeds.
+func startPart(t *testing.T, cfg group.Config, terms Terms, targets Targets, advisor Advisor) *Part {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg.DataFolder = t.TempDir()
+	cfg.Form = true
+	cfg.Voters = len(cfg.Seeds)
+	cfg.Replace = time.Minute
+	part, err := NewPart(cfg, terms, targets, advisor, log)
+	c.Assert(err, qt.IsNil)
+	c.Assert(part.Run(), qt.IsNil)
+	t.Cleanup(part.Stop)
+	return part
+}
+
 func newScene(t *testing.T, advice bool, names ...string) *scene {
 	return newSceneWith(t, testTerms(), advice, names...)
 }
 
 func newSceneWith(t *testing.T, terms Terms, advice bool, names ...string) *scene {
 	c := qt.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	fleet := &fakeFleet{
 		targets: map[string]*fakeTarget{},
 		work:    100 * time.Millisecond,
@@ -295,20 +309,13 @@
 		good:    map[string]string{},
 	}
 	address := local.Address()
-	part, err := NewPart(group.Config{
-		Name:       "a",
-		Address:    address,
-		Seeds:      []string{address},
-		DataFolder: t.TempDir(),
-		Form:       true,
-		Voters:     1,
-		Election:   200 * time.Millisecond,
-		Heartbeat:  40 * time.Millisecond,
-		Replace:    time.Minute,
-	}, terms, fleet, fleet, log)
-	c.Assert(err, qt.IsNil)
-	c.Assert(part.Run(), qt.IsNil)
-	t.Cleanup(part.Stop)
+	part := startPart(t, group.Config{
+		Name:      "a",
+		Address:   address,
+		Seeds:     []string{address},
+		Election:  200 * time.Millisecond,
+		Heartbeat: 40 * time.Millisecond,
+	}, terms, fleet, fleet)
 	s := &scene{
 		c:     c,
 		part:  part,
@@ -440,6 +447,14 @@
 	return answer.State
 }
 
+// completed waits until the job is.
+func (s *scene) completed(id graph.JobID) {
+	s.c.Helper()
+	s.eventually(patience, "job completed", func() bool {
+		return s.state(id) == graph.StateCompleted
+	})
+}
+
 // eventually waits for the condition, up to the time.
 func (s *scene) eventually(within time.Duration, what string, holds func() bool) {
 	s.c.Helper()
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -19,9 +19,7 @@
 	second := tasks(3)
 	second.Depends = []int{0}
 	s.submit("a", tasks(3), second)
-	s.eventually(patience, "job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	s.fleet.read(func() {
 		s.c.Assert(s.fleet.starts, qt.HasLen, 6)
 		for i, start := range s.fleet.starts {
@@ -227,9 +225,7 @@
 		}
 	})
 	s.submit("a", tasks(4))
-	s.eventually(patience, "job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	s.never()
 }
 
@@ -243,9 +239,7 @@
 	s.fleet.read(func() { s.fleet.targets["w0"].lose = 1 })
 	s.submit("a", tasks(1))
 	began := time.Now()
-	s.eventually(patience, "job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	s.c.Assert(time.Since(began) < s.fleet.work+600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	s.never()
 }
@@ -254,9 +248,7 @@
 func TestMetrics(t *testing.T) {
 	s := newScene(t, true, "w0")
 	s.submit("a", tasks(2))
-	s.eventually(patience, "job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	// The driver counts an end once its commit has returned, which may be after
 	// the job is seen to be completed.
 	text := ""
@@ -352,9 +344,7 @@
 	s.fleet.read(func() { s.fleet.targets["w0"].silent = true })
 	s.announce("w1", 1)
 	began := time.Now()
-	s.eventually(patience, "job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	s.c.Assert(time.Since(began) < terms.TTL/2, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	s.never()
 }
@@ -366,18 +356,14 @@
 	terms.Call = 2 * time.Second
 	s := newSceneWith(t, terms, false, "w0")
 	s.submit("a", tasks(3))
-	s.eventually(patience, "first job completed", func() bool {
-		return s.state("a") == graph.StateCompleted
-	})
+	s.completed("a")
 	s.fleet.read(func() {
 		s.fleet.targets["w0"].swallow = 1
 		s.fleet.lateBy = 2 * terms.Call
 	})
 	began := time.Now()
 	s.submit("b", tasks(1))
-	s.eventually(patience, "second job completed", func() bool {
-		return s.state("b") == graph.StateCompleted
-	})
+	s.completed("b")
 	s.c.Assert(time.Since(began) < terms.Call, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	s.never()
 }
--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
@@ -140,27 +138,18 @@
 }
 
 func (cell *relayCell) start(t *testing.T, i int, address string, seeds []string) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	port := &counted{
 		fakeFleet: cell.fleet,
 		calls:     map[string]int{},
 	}
-	part, err := NewPart(group.Config{
-		Name:       fmt.Sprint("n", i),
-		Domain:     domainOf(i),
-		Address:    address,
-		Seeds:      seeds,
-		DataFolder: t.TempDir(),
-		Form:       true,
-		Voters:     len(seeds),
-		Election:   300 * time.Millisecond,
-		Heartbeat:  50 * time.Millisecond,
-		Replace:    time.Minute,
-	}, testTerms(), port, cell.fleet, log)
-	cell.c.Assert(err, qt.IsNil)
-	cell.c.Assert(part.Run(), qt.IsNil)
-	t.Cleanup(part.Stop)
+	part := startPart(t, group.Config{
+		Name:      fmt.Sprint("n", i),
+		Domain:    domainOf(i),
+		Address:   address,
+		Seeds:     seeds,
+		Election:  300 * time.Millisecond,
+		Heartbeat: 50 * time.Millisecond,
+	}, testTerms(), port, cell.fleet)
 	cell.parts = append(cell.parts, part)
 	cell.ports = append(cell.ports, port)
 }
@@ -207,12 +196,6 @@
 	return l
 }
 
-func (cell *relayCell) completed(id graph.JobID) {
-	cell.eventually(patience, "job completed", func() bool {
-		return cell.state(id) == graph.StateCompleted
-	})
-}
-
 // Each instance calls the targets of its own failure domain, so none needs a
 // connection to all of them.
 func TestOrdersGoThroughTheDomain(t *testing.T) {
