--- a/internal/sink/sink.go
+++ b/internal/sink/sink.go
@@ -82,11 +82,14 @@
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	for range w.wake {
-		if !w.isClosed() {
+		// The flag is read before the flush: lines buffered during a flush need
+		// another one, which Close requests.
+		closed := w.isClosed()
+		if !closed {
 			time.Sleep(flushDelay)
 		}
 		w.flush()
-		if w.isClosed() {
+		if closed {
 			return
 		}
 	}
--- a/internal/sink/sink_test.go
+++ b/internal/sink/sink_test.go
@@ -39,6 +39,43 @@
 	c.Assert(out.buffer.String(), qt.Equals, want)
 }
 
+// gatedWriter signals each write on started and completes it once released.
+type gatedWriter struct {
+	lockedBuffer
+
+	started  chan struct{}
+	released chan struct{}
+}
+
+func (g *gatedWriter) Write(p []byte) (int, error) {
+	g.started <- struct{}{}
+	<-g.released
+	return g.lockedBuffer.Write(p)
+}
+
+// TestLineWrittenDuringLastFlush checks that a line that is buffered while the
+// writer is flushing, just before Close, is still written.
+func TestLineWrittenDuringLastFlush(t *testing.T) {
+	c := qt.New(t)
+	out := &gatedWriter{
+		started:  make(chan struct{}, 2),
+		released: make(chan struct{}, 2),
+	}
+	w := NewAsyncWriter(out, 1<<20)
+	_, err := w.Write([]byte("first\n"))
+	c.Assert(err, qt.IsNil)
+	<-out.started
+	_, err = w.Write([]byte("second\n"))
+	c.Assert(err, qt.IsNil)
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	out.released <- struct{}{}
+	out.released <- struct{}{}
+	closeAndWait(w)
+	c.Assert(out.buffer.String(), qt.Equals, "first\nsecond\n")
+}
+
 // closeAndWait closes a writer whose output has not stalled and waits until
 // everything is written. Unlike Close it has no timeout, so a slow machine does
 // not truncate the output.
