Do not read the ledger with the leader's lock held

Cause: ensureDriver read the ledger with leader.mu held, a decision looks up drivers (leader.mu) while it reads the ledger. With a command waiting to be applied, which keeps new readers out, the three wait for each other and the leader stands still for good. Found by reading the lock order. Change: the runs of an earlier leader are read before leader.mu is taken.

--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -34,12 +34,18 @@
 // ensureDriver returns the driver of the target, and starts one if there is none.
 // It starts none, and may return nil, when the leader is stopping.
 func (l *leader) ensureDriver(t graph.Target) *driver {
+	if d := l.driver(t.ID); d != nil {
+		return d
+	}
+	// A decision looks up drivers while it reads the ledger. The ledger is
+	// therefore not read with the leader's lock held.
+	created := newDriver(l, t)
+	created.inherit()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d := l.drivers[t.ID]
 	if d == nil && l.ctx.Err() == nil {
-		d = newDriver(l, t)
-		d.inherit()
+		d = created
 		l.drivers[t.ID] = d
 		l.goroutines.Go(d.renewLoop)
 	}
