Hold room for gangs and large tasks, share advice fairly, late work last

Change: pkg/holds (earliest fit, backfill) and internal/plan/hold.go keep room for gangs and tasks of more than half a target, up to twice their run ahead; tickets of held targets are renewed by one call when they are about to fit; nothing is asked for that has no room. pkg/fairq shares advice by expected time among queues, one call at a time an instance, a quarter kept for the most urgent advised queue. Late work goes behind work in time. Small accelerator work asks about the fullest targets.

--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -248,7 +248,7 @@
 	for id, target := range l.targets {
 		var used quota.Resources
 		for ref, active := range target.Runs {
-			used = used.Add(active.reserved())
+			used = used.Add(active.Reserved())
 			usage[active.ClientAccount] = usage[active.ClientAccount].Add(active.Resources)
 			if m.activeRuns[ref][active.Run] != id {
 				t.Fatalf("%s holds %s run %d, which has ended", id.ID, ref.Name(), active.Run)
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -93,6 +93,23 @@
 	return l.config.config
 }
 
+// MostUrgentAdvice returns the priority of the most urgent queue that needs
+// advice, or zero if there is none.
+func (l *Ledger) MostUrgentAdvice() int {
+	config := l.Config()
+	if config == nil {
+		return 0
+	}
+	priority, found := 0, false
+	for i := range config.Queues {
+		queue := &config.Queues[i]
+		if queue.Advice != nil && (!found || queue.Priority < priority) {
+			priority, found = queue.Priority, true
+		}
+	}
+	return priority
+}
+
 // Targets returns copies of all targets, without their runs.
 func (l *Ledger) Targets() []Target {
 	l.mu.RLock()
--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -214,13 +214,13 @@
 		return false
 	}
 	delete(target.Runs, ref)
-	target.Used = target.Used.Sub(active.reserved())
+	target.Used = target.Used.Sub(active.Reserved())
 	l.usageByClientAccount[active.ClientAccount] = l.usageByClientAccount[active.ClientAccount].Sub(active.Resources)
 	return true
 }
 
-// reserved returns the part of the target's capacity that the run reserves.
-func (r ActiveRun) reserved() quota.Resources {
+// Reserved returns the part of the target's capacity that the run reserves.
+func (r ActiveRun) Reserved() quota.Resources {
 	resources := r.Resources
 	if r.BestEffort {
 		resources.CPU = 0
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -4,46 +4,171 @@
 	"fmt"
 	"hash/fnv"
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
 const (
-	// maxAdviceRequests limits the advice requests of one decision. The next
-	// decision follows within milliseconds.
-	maxAdviceRequests = 16
 	// An advice request names between minTargetsPerRequest and
 	// maxTargetsPerRequest targets: enough that the expected capacity of those
 	// approved is capacityFactor times the number of waiting tasks.
 	minTargetsPerRequest = 8
 	maxTargetsPerRequest = 40
 	capacityFactor       = 3.0
+	// extraTargetsFraction is the part of a call's base time by which it may
+	// become longer to name more targets than are needed. What the advisor
+	// approves stays valid, so this saves later calls.
+	extraTargetsFraction = 0.25
+	// renewalLead is how long before the room for a gang is expected to be free
+	// its tickets should be there.
+	renewalLead = 100 * time.Millisecond
 )
 
-// ensureAdvice reports whether approved targets with valid tickets have
-// capacity for tasks of the step. It requests advice on more targets if that
-// capacity is less than the step needs.
-func (p *planner) ensureAdvice(step *pendingStep, advice *StepAdvice) bool {
-	capacity := 0
+// isTicketUsable reports whether the ticket is valid long enough for a start at
+// the given time.
+func isTicketUsable(ticket Ticket, at time.Time) bool {
+	return ticket.ExpiresAt.Sub(at) >= minTicketLifetime
+}
+
+// requestAdvice requests advice that the step needs for its waiting tasks to
+// start. It requests none that would not let a task start soon.
+func (p *planner) requestAdvice(step *pendingStep, advice *StepAdvice, hold *Hold) {
+	if advice != nil && advice.InFlight || !p.canRequestAdvice(step) || !p.withinClientAccountLimit(step) {
+		return
+	}
+	request := AdviceRequest{
+		Step:  step.key,
+		Queue: *step.queue,
+	}
+	if p.needsHold(step) {
+		p.nameTargetsToHold(&request, step, advice, hold)
+	} else {
+		p.nameTargets(&request, step, advice)
+	}
+	if len(request.Targets) > 0 {
+		p.adviceRequestsByQueue[step.queue.Name]++
+		p.decision.AdviceRequests = append(p.decision.AdviceRequests, request)
+	}
+}
+
+// canRequestAdvice reports whether a request of the step's queue could be served
+// now, were it the next one.
+func (p *planner) canRequestAdvice(step *pendingStep) bool {
+	return p.adviceRequestsByQueue[step.queue.Name] < p.input.FreeAdviceCalls
+}
+
+// nameTargets names approved targets with room whose tickets have expired, then
+// targets with room that the advisor was not consulted on yet.
+func (p *planner) nameTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice) {
+	wanted := capacityFactor * float64(p.waitingTasks(step))
 	if advice != nil {
 		for id, ticket := range advice.Approved {
 			target := p.byID[id]
-			if target != nil && ticket.ExpiresAt.Sub(p.input.Now) >= minTicketLifetime {
-				capacity += p.taskCapacity(step, target)
+			if target == nil {
+				continue
+			}
+			if isTicketUsable(ticket, p.input.Now) {
+				wanted -= float64(p.taskCapacity(step, target))
+				continue
 			}
+			wanted -= p.addTarget(request, step, target, 1)
 		}
 	}
-	waiting := 0
-	for i := range step.tasks {
-		if p.needsPlacement(step, i) {
-			waiting++
+	p.nameUnknownTargets(request, step, advice, wanted)
+}
+
+// nameUnknownTargets names targets with room that the advisor was not consulted
+// on yet, until the wanted capacity is expected or the call gets long.
+func (p *planner) nameUnknownTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice, wanted float64) {
+	approvalRate := p.input.ApprovalRate(step.queue.Name)
+	atLeast := p.minTargets(request)
+	for target := range p.targetsToAsk(step) {
+		if len(request.Targets) >= maxTargetsPerRequest || wanted <= 0 && len(request.Targets) >= atLeast {
+			break
+		}
+		if advice == nil || !advice.Requested[target.info.ID.ID] {
+			wanted -= p.addTarget(request, step, target, approvalRate)
+		}
+	}
+}
+
+// minTargets returns how many targets a request names if there are enough.
+func (p *planner) minTargets(request *AdviceRequest) int {
+	timing := request.Queue.Advice
+	if timing.Each <= 0 {
+		return maxTargetsPerRequest
+	}
+	extra := int(extraTargetsFraction * float64(timing.Base) / float64(timing.Each))
+	return min(maxTargetsPerRequest, max(minTargetsPerRequest, extra))
+}
+
+// nameTargetsToHold names targets for a step for which room is held. Where it may
+// run is found out by one call that is as long as it needs to be. When room is
+// free or about to be, one call renews the tickets of all targets.
+func (p *planner) nameTargetsToHold(request *AdviceRequest, step *pendingStep, advice *StepAdvice, hold *Hold) {
+	if hold != nil {
+		p.nameHeldTargets(request, step, advice, hold)
+		if len(request.Targets) > 0 {
+			return
+		}
+	}
+	p.nameUnknownTargets(request, step, advice, capacityFactor*float64(p.waitingTasks(step)))
+	if advice == nil || hold == nil || len(request.Targets) > 0 {
+		p.nameFullTargets(request, step, advice)
+	}
+}
+
+// nameHeldTargets names the held targets whose tasks are about to fit, if the
+// ticket of one of them would have expired by then. Other approved targets with
+// room by then are named as spares.
+func (p *planner) nameHeldTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice, hold *Hold) {
+	timing := request.Queue.Advice
+	answerAt := p.input.Now.Add(timing.Base + time.Duration(len(advice.Approved))*timing.Each)
+	soon := answerAt.Add(renewalLead)
+	expired := false
+	for _, held := range hold.Targets {
+		if !held.StartsAt.After(soon) && !isTicketUsable(advice.Approved[held.ID], held.StartsAt) {
+			expired = true
+		}
+	}
+	if !expired {
+		return
+	}
+	lastStart := answerAt.Add(timing.Valid - minTicketLifetime)
+	for _, held := range hold.Targets {
+		if !held.StartsAt.After(lastStart) {
+			request.Targets = append(request.Targets, held.ID)
 		}
 	}
-	if capacity < waiting && (advice == nil || !advice.InFlight) && p.withinClientAccountLimit(step) {
-		p.requestAdvice(step, advice, waiting-capacity)
+	for id := range advice.Approved {
+		target := p.byID[id]
+		if target == nil || len(request.Targets) >= maxTargetsPerRequest || target.hold != nil {
+			continue
+		}
+		if at, ok := p.timelineOf(target).EarliestFit(step.spec.Reservation()); ok && !at.After(soon) {
+			request.Targets = append(request.Targets, id)
+		}
+	}
+}
+
+// nameFullTargets adds targets without room that the advisor was not consulted
+// on yet, as far as they make the call little longer. It lets room be held on
+// those approved.
+func (p *planner) nameFullTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice) {
+	atLeast := p.minTargets(request)
+	for target := range p.targetsToAsk(step) {
+		id := target.info.ID.ID
+		if len(request.Targets) >= atLeast {
+			return
+		}
+		known := advice != nil && advice.Requested[id]
+		if !known && target.info.HasLabel(step.spec.Label) && step.spec.Reservation().FitsIn(target.info.Capacity) &&
+			!slices.Contains(request.Targets, id) {
+			request.Targets = append(request.Targets, id)
+		}
 	}
-	return capacity > 0
 }
 
 // needsPlacement reports whether a task is waiting and has no pending
@@ -53,59 +178,67 @@
 	return !pending && step.tasks[index].State == graph.TaskWaiting
 }
 
-// taskCapacity returns how many more tasks of the step fit on the target.
+// waitingTasks returns the number of tasks of the step that need a placement.
+func (p *planner) waitingTasks(step *pendingStep) int {
+	waiting := 0
+	for i := range step.tasks {
+		if p.needsPlacement(step, i) {
+			waiting++
+		}
+	}
+	return waiting
+}
+
+// taskCapacity returns how many more tasks of the step fit on the target now.
 func (p *planner) taskCapacity(step *pendingStep, target *targetState) int {
-	limit := step.spec.Count
+	return min(p.taskLimit(step, target), step.spec.Reservation().FitCount(p.roomFor(step, target)))
+}
+
+// taskLimit returns how many more tasks of the step may run on the target,
+// whatever its room.
+func (p *planner) taskLimit(step *pendingStep, target *targetState) int {
 	if step.spec.MaxPerTarget > 0 {
-		limit = step.spec.MaxPerTarget - target.info.RunsOfStep(step.key.TaskRef(0)) - target.placedTasks[step.key]
+		return step.spec.MaxPerTarget - target.info.RunsOfStep(step.key.TaskRef(0)) - target.placedTasks[step.key]
 	}
-	return min(limit, step.spec.Reservation().FitCount(target.free))
+	return step.spec.Count
 }
 
-// requestAdvice adds an advice request for the step. It names approved targets
-// with expired tickets first, then targets that the advisor was not consulted
-// on yet, those with the most free resources first.
-func (p *planner) requestAdvice(step *pendingStep, advice *StepAdvice, missing int) {
-	if len(p.decision.AdviceRequests) >= maxAdviceRequests {
-		return
-	}
-	request := AdviceRequest{
-		Step:  step.key,
-		Queue: *step.queue,
-	}
-	if !p.canRequestAdvice(request.Queue.Advice.Base + minTargetsPerRequest*request.Queue.Advice.Each) {
-		return
-	}
-	wanted := capacityFactor * float64(missing)
-	if advice != nil {
-		for id, ticket := range advice.Approved {
-			if target := p.byID[id]; target != nil && ticket.ExpiresAt.Sub(p.input.Now) < minTicketLifetime {
-				wanted -= p.addTarget(&request, step, target, 1)
+// targetsToAsk iterates over the targets of the step's service in the order in
+// which the advisor is asked about them. Small accelerator work asks about the
+// fullest targets first, since it should leave whole targets free; work without
+// accelerators asks about targets that have them last.
+func (p *planner) targetsToAsk(step *pendingStep) iter.Seq[*targetState] {
+	targets := p.targetsByFreeShare(p.input.View.ServiceOf(step.job))
+	if step.spec.Resources.Accelerators > 0 && !step.spec.Gang {
+		return func(yield func(*targetState) bool) {
+			for _, target := range slices.Backward(targets) {
+				if !yield(target) {
+					return
+				}
 			}
 		}
 	}
-	approvalRate := p.input.ApprovalRate(step.queue.Name)
-	for target := range p.rotatedTargets(step) {
-		if len(request.Targets) >= maxTargetsPerRequest || wanted <= 0 && len(request.Targets) >= minTargetsPerRequest {
-			break
-		}
-		if advice == nil || !advice.Requested[target.info.ID.ID] {
-			wanted -= p.addTarget(&request, step, target, approvalRate)
-		}
+	if step.spec.Resources.Accelerators > 0 {
+		return rotated(targets, step.key)
 	}
-	if len(request.Targets) > 0 {
-		p.decision.AdviceRequests = append(p.decision.AdviceRequests, request)
+	return func(yield func(*targetState) bool) {
+		for _, withAccelerators := range []bool{false, true} {
+			for target := range rotated(targets, step.key) {
+				if target.info.Capacity.Accelerators > 0 == withAccelerators && !yield(target) {
+					return
+				}
+			}
+		}
 	}
 }
 
-// rotatedTargets iterates over the targets of the step's service, the half with
-// more free resources first. Iteration of that half starts at an offset
-// derived from the step's key, so that concurrent requests name different
-// targets and their steps do not compete for the same resources.
-func (p *planner) rotatedTargets(step *pendingStep) iter.Seq[*targetState] {
-	targets := p.targetsByFreeShare(p.input.View.ServiceOf(step.job))
+// rotated iterates over the targets, the half with more free resources first.
+// Iteration of that half starts at an offset derived from the step's key, so
+// that concurrent requests name different targets and their steps do not
+// compete for the same resources.
+func rotated(targets []*targetState, key StepKey) iter.Seq[*targetState] {
 	half := (len(targets) + 1) / 2
-	offset := int(step.key.hash() % uint64(max(half, 1)))
+	offset := int(key.hash() % uint64(max(half, 1)))
 	return func(yield func(*targetState) bool) {
 		for i, target := range targets {
 			if i < half {
@@ -125,26 +258,12 @@
 	return h.Sum64()
 }
 
-// canRequestAdvice reports whether an advice call of the given duration could
-// be made soon. Once a duration is rejected, longer ones are rejected without
-// another check.
-func (p *planner) canRequestAdvice(duration time.Duration) bool {
-	if p.rejectedDuration > 0 && duration >= p.rejectedDuration {
-		return false
-	}
-	if p.input.CanRequestAdvice(duration) {
-		return true
-	}
-	p.rejectedDuration = duration
-	return false
-}
-
 // addTarget adds the target to the request if it has capacity for the step. It
 // returns the number of tasks that the target is expected to accept, given the
 // probability of its approval.
 func (p *planner) addTarget(request *AdviceRequest, step *pendingStep, target *targetState, probability float64) float64 {
 	n := p.taskCapacity(step, target)
-	if n == 0 || len(request.Targets) >= maxTargetsPerRequest || !target.info.HasLabel(step.spec.Label) {
+	if n <= 0 || len(request.Targets) >= maxTargetsPerRequest || !target.info.HasLabel(step.spec.Label) {
 		return 0
 	}
 	request.Targets = append(request.Targets, target.info.ID.ID)
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -15,22 +15,41 @@
 	// retried on the target where it has just failed unless no other target is
 	// free.
 	failedTargetPenalty = 20.0
+	// acceleratorPenalty outweighs the other differences between healthy
+	// targets: work without accelerators leaves targets that have them free.
+	acceleratorPenalty = 6.0
 	// urgentReserve is the fraction of a client account's limit that is
 	// reserved for its urgent work while it has any.
 	urgentReserve = 0.2
 )
 
-// placeStep places as many tasks of the step as possible. A gang is placed as
-// a whole or not at all, and all its tasks get the same run number.
+// placeStep places as many tasks of the step as possible, and requests the advice
+// that the others need. A gang is placed as a whole or not at all, and all its
+// tasks get the same run number. While it waits, room is held for it.
 func (p *planner) placeStep(step *pendingStep) {
+	needsAdvice := step.queue != nil && step.queue.Advice != nil
 	var advice *StepAdvice
-	if step.queue != nil && step.queue.Advice != nil {
+	if needsAdvice {
 		advice = p.input.Advice(step.key)
-		if !p.ensureAdvice(step, advice) {
-			p.decision.WaitReasons[step.key] = p.waitReason(step, advice)
+	}
+	if !needsAdvice || advice != nil {
+		if p.placeTasks(step, advice) {
 			return
 		}
 	}
+	var hold *Hold
+	if (!needsAdvice || advice != nil) && p.needsHold(step) && p.withinClientAccountLimit(step) {
+		hold = p.holdRoom(step, advice)
+	}
+	p.decision.WaitReasons[step.key] = p.waitReason(step, advice)
+	if needsAdvice {
+		p.requestAdvice(step, advice, hold)
+	}
+}
+
+// placeTasks places as many tasks of the step as possible, or all of a gang or
+// none. It reports whether no task is left waiting.
+func (p *planner) placeTasks(step *pendingStep, advice *StepAdvice) bool {
 	var placements []graph.Placement
 	var gangRun uint32
 	for i := range step.tasks {
@@ -44,12 +63,12 @@
 		}
 		target := p.selectTarget(step, ref, advice)
 		if target == nil {
-			p.decision.WaitReasons[step.key] = p.waitReason(step, advice)
 			if step.spec.Gang {
 				p.rollback(step, placements)
-				return
+				return false
 			}
-			break
+			p.commit(step, placements)
+			return false
 		}
 		placement := graph.Placement{
 			Task:   ref,
@@ -63,6 +82,7 @@
 		placements = append(placements, placement)
 	}
 	p.commit(step, placements)
+	return true
 }
 
 // commit adds the placements to the decision. It rolls back an incomplete gang.
@@ -86,7 +106,7 @@
 
 // assign reserves resources on the target for the task and records its ticket.
 func (p *planner) assign(step *pendingStep, target *targetState, advice *StepAdvice, ref graph.TaskRef) {
-	target.free = target.free.Sub(step.spec.Reservation())
+	p.take(step, target)
 	target.addPlaced(step.key, 1)
 	p.usedByClientAccount[step.job.ClientAccount] = p.usedByClientAccount[step.job.ClientAccount].Add(step.spec.Resources)
 	if step.spec.BestEffort {
@@ -104,7 +124,7 @@
 func (p *planner) rollback(step *pendingStep, placements []graph.Placement) {
 	for _, placement := range placements {
 		target := p.byID[placement.Target.ID]
-		target.free = target.free.Add(step.spec.Reservation())
+		p.giveBack(step, target)
 		target.addPlaced(step.key, -1)
 		p.usedByClientAccount[step.job.ClientAccount] = p.usedByClientAccount[step.job.ClientAccount].Sub(step.spec.Resources)
 		delete(p.decision.Tickets, placement.Task)
@@ -118,10 +138,23 @@
 		return ReasonClientAccountLimit
 	case step.queue != nil && step.queue.Advice != nil && (advice == nil || advice.InFlight):
 		return ReasonNoAdvice
+	case len(p.decision.Holds) > 0 && p.decision.Holds[step.key] == nil && p.isRoomHeld(step, advice):
+		return ReasonHeld
 	}
 	return ReasonNoCapacity
 }
 
+// isRoomHeld reports whether a task of the step would fit on a target if no room
+// were held there for a gang.
+func (p *planner) isRoomHeld(step *pendingStep, advice *StepAdvice) bool {
+	for _, target := range p.candidates(step, advice) {
+		if target.hold != nil && step.spec.Reservation().FitsIn(target.free) {
+			return true
+		}
+	}
+	return false
+}
+
 // withinClientAccountLimit reports whether one more task of the step stays
 // within the client account's limit.
 func (p *planner) withinClientAccountLimit(step *pendingStep) bool {
@@ -192,7 +225,7 @@
 // fits reports whether the task can start on the target: resources, label,
 // ticket and spread limit permit it, and no run of the task is there already.
 func (p *planner) fits(step *pendingStep, ref graph.TaskRef, target *targetState, advice *StepAdvice) bool {
-	if !step.spec.Reservation().FitsIn(target.free) || !target.info.HasLabel(step.spec.Label) {
+	if !step.spec.Reservation().FitsIn(p.roomFor(step, target)) || !target.info.HasLabel(step.spec.Label) {
 		return false
 	}
 	if _, running := target.info.Runs[ref]; running {
@@ -200,7 +233,7 @@
 	}
 	if advice != nil {
 		ticket, ok := advice.Approved[target.info.ID.ID]
-		if !ok || ticket.ExpiresAt.Sub(p.input.Now) < minTicketLifetime {
+		if !ok || !isTicketUsable(ticket, p.input.Now) {
 			return false
 		}
 	}
@@ -238,5 +271,8 @@
 	if step.spec.Latency > 0 && p.colocationOf(target).bestEffort > 0 {
 		score -= 8
 	}
+	if step.spec.Resources.Accelerators == 0 && target.info.Capacity.Accelerators > 0 {
+		score -= acceleratorPenalty
+	}
 	return score - target.free.DominantShare(target.info.Capacity)
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -72,9 +72,12 @@
 	ApprovalRate func(queue string) float64
 	// Usable reports whether the target responds.
 	Usable func(graph.TargetID) bool
-	// CanRequestAdvice reports whether an advice call of the given duration
-	// could be made soon.
-	CanRequestAdvice func(duration time.Duration) bool
+	// FreeAdviceCalls is the number of advice calls that can be made now.
+	FreeAdviceCalls int
+	// ExpectedEnd predicts the end of a run from its progress, or returns false.
+	ExpectedEnd func(graph.TargetID, graph.TaskRef) (time.Time, bool)
+	// Holds has the room held by the previous decision.
+	Holds map[StepKey]*Hold
 	// Pending contains the placements that are proposed but not yet committed
 	// to the log.
 	Pending map[graph.TaskRef]graph.TargetID
@@ -102,6 +105,9 @@
 	// ReasonNoCapacity means that no target allowed to run the tasks has
 	// enough free resources for one.
 	ReasonNoCapacity WaitReason = "room"
+	// ReasonHeld means that the room in which the tasks would fit is held for a
+	// more urgent step.
+	ReasonHeld WaitReason = "held"
 	// ReasonMoreUrgentWork means that more urgent work used up the placements
 	// of one decision.
 	ReasonMoreUrgentWork WaitReason = "more-urgent-work"
@@ -111,9 +117,13 @@
 type Decision struct {
 	// Groups holds the placements in groups: all tasks of a gang, or a single
 	// task.
-	Groups         [][]graph.Placement
-	Tickets        map[graph.TaskRef]string
+	Groups  [][]graph.Placement
+	Tickets map[graph.TaskRef]string
+	// AdviceRequests are in the order of urgency. There may be more of them
+	// than calls can be made now.
 	AdviceRequests []AdviceRequest
+	// Holds has the room that is held for gangs and large tasks that wait.
+	Holds map[StepKey]*Hold
 	// WaitReasons gives the reason for each step that still has waiting tasks.
 	WaitReasons map[StepKey]WaitReason
 }
@@ -131,9 +141,12 @@
 	// sortedServices contains the services whose targets are already sorted
 	// by free share.
 	sortedServices map[string]bool
-	// rejectedDuration is the shortest duration of an advice call that
-	// CanRequestAdvice rejected, or zero.
-	rejectedDuration time.Duration
+	// adviceRequestsByQueue counts the advice requests of the decision.
+	adviceRequestsByQueue map[string]int
+	// heldTargets counts the targets with held room by service.
+	heldTargets map[string]int
+	// largestByService caches the result of largestTarget.
+	largestByService map[string]quota.Resources
 	decision         Decision
 	placedTasks      int
 }
@@ -146,7 +159,12 @@
 		usedByClientAccount:  map[string]quota.Resources{},
 		urgentClientAccounts: map[string]bool{},
 		sortedServices:       map[string]bool{},
+
+		adviceRequestsByQueue: map[string]int{},
+		heldTargets:           map[string]int{},
+		largestByService:      map[string]quota.Resources{},
 	}
+	p.decision.Holds = map[StepKey]*Hold{}
 	p.decision.Tickets = map[graph.TaskRef]string{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
 	steps := p.pendingSteps()
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -17,8 +17,12 @@
 	ledger *graph.Ledger
 	advice map[StepKey]*StepAdvice
 	now    time.Time
-	// advisorBusy makes CanRequestAdvice reject all advice calls.
+	// advisorBusy means that no advice calls can be made now.
 	advisorBusy bool
+	// holds is the room held by the last decision.
+	holds map[StepKey]*Hold
+	// expectedEnds has the predicted ends of runs.
+	expectedEnds map[graph.TaskRef]time.Time
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -91,18 +95,34 @@
 	var d Decision
 	f.ledger.View(f.now, func(v *graph.View) {
 		d = Decide(Input{
-			View:             v,
-			Now:              f.now,
-			Advice:           func(key StepKey) *StepAdvice { return f.advice[key] },
-			ApprovalRate:     func(string) float64 { return 0.5 },
-			CanRequestAdvice: func(time.Duration) bool { return !f.advisorBusy },
-			Usable:           func(graph.TargetID) bool { return true },
-			Speed:            func(graph.TargetID) float64 { return 1 },
+			View:            v,
+			Now:             f.now,
+			Advice:          func(key StepKey) *StepAdvice { return f.advice[key] },
+			ApprovalRate:    func(string) float64 { return 0.5 },
+			FreeAdviceCalls: f.freeAdviceCalls(),
+			Holds:           f.holds,
+			ExpectedEnd: func(_ graph.TargetID, ref graph.TaskRef) (time.Time, bool) {
+				at, known := f.expectedEnds[ref]
+				return at, known
+			},
+			Usable: func(graph.TargetID) bool { return true },
+			Speed:  func(graph.TargetID) float64 { return 1 },
 		})
 	})
+	f.holds = d.Holds
 	return d
 }
 
+// freeCalls is how many advice calls the fixture's advisor serves at once.
+const freeCalls = 16
+
+func (f *fixture) freeAdviceCalls() int {
+	if f.advisorBusy {
+		return 0
+	}
+	return freeCalls
+}
+
 func (f *fixture) commit(d Decision) []graph.Refusal {
 	return f.ledger.Apply(graph.Command{
 		Time:  graph.Millis(f.now.UnixMilli()),
@@ -176,15 +196,18 @@
 	return advice
 }
 
-// A request names no more targets than the step is likely to need, as each one
-// prolongs the call to the advisor.
+// A request names no more targets than the step is likely to need and those that
+// prolong the call by less than a quarter, as each one prolongs it.
 func TestAdviceRequestSize(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(40, quota.Resources{})
 	f.submit("advised", "a", newStep(4, 2000))
 	d := f.decide()
 	c.Assert(d.AdviceRequests, qt.HasLen, 1)
-	c.Assert(len(d.AdviceRequests[0].Targets), qt.Equals, minTargetsPerRequest)
+	named := time.Duration(len(d.AdviceRequests[0].Targets))
+	timing := d.AdviceRequests[0].Queue.Advice
+	c.Assert(named >= minTargetsPerRequest, qt.IsTrue)
+	c.Assert(named*timing.Each <= timing.Base/4, qt.IsTrue)
 }
 
 // A client account that has reached its limit gets neither placements nor
@@ -238,7 +261,7 @@
 	f.advisorBusy = true
 	c.Check(f.decide().AdviceRequests, qt.HasLen, 0)
 	f.advisorBusy = false
-	c.Check(f.decide().AdviceRequests, qt.HasLen, maxAdviceRequests)
+	c.Check(f.decide().AdviceRequests, qt.HasLen, freeCalls)
 }
 
 // Checks the reasons reported for runnable tasks that stay waiting.
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -15,6 +15,8 @@
 	tasks []graph.Task
 	// deadline is when the job exceeds its maximum duration.
 	deadline graph.Millis
+	// late is set if the deadline can no longer be met.
+	late     bool
 	priority int
 	// approvedTargets caches the targets of the step's service that the advisor
 	// approved.
@@ -63,6 +65,7 @@
 			if queue != nil {
 				step.priority = queue.Priority
 			}
+			step.late = !step.spec.LongRunning && p.input.View.Now > step.deadline
 			steps = append(steps, step)
 		}
 	}
@@ -88,8 +91,13 @@
 	return graph.Millis(queue.Stretch*float64(criticalPath)) + queue.Latency
 }
 
-// moreUrgent reports whether a is placed before b.
+// moreUrgent reports whether a is placed before b. Work that can still meet its
+// deadline goes before work that is late anyway, so that a backlog does not make
+// all work late that comes after it.
 func moreUrgent(a, b *pendingStep) bool {
+	if a.late != b.late {
+		return b.late
+	}
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/pkg/holds"
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
@@ -17,8 +18,11 @@
 	// initialFreeShare is the dominant share of the target's capacity that was
 	// free at the start of the decision.
 	initialFreeShare float64
-	// colocation is computed on first use.
+	// colocation and timeline are computed on first use.
 	colocation *colocation
+	timeline   *holds.Timeline
+	// hold is the room held for a step that waits, or nil.
+	hold *targetHold
 }
 
 // colocation counts the latency-sensitive services and the best-effort tasks on
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +21,7 @@
 func (l *leader) submit(ctx context.Context, s *graph.Submit) (Answer, *wire.Fault) {
 	known, refusal := l.scheduler.ledger.CheckSubmit(s)
 	if refusal != "" || known {
-		l.recordAdmission(s.ID, refusal, known)
+		l.recordAdmission(s, refusal, known)
 		answer := Answer{Refusal: refusal}
 		if refusal == graph.RefusedNeverFits {
 			answer.RetryAfter = neverFitsRetry
@@ -31,20 +33,24 @@
 		l.log.WithField("job", s.ID).WithField("fault", fault.Error()).Warn("admit: submission not committed")
 		return Answer{}, fault
 	}
-	l.recordAdmission(s.ID, result.Refusal, false)
+	l.recordAdmission(s, result.Refusal, false)
 	l.wakeDecisionLoop()
 	return Answer{Refusal: result.Refusal}, nil
 }
 
 // recordAdmission logs and counts the result of a submission, and stores the
 // time of the first admission.
-func (l *leader) recordAdmission(id graph.JobID, refusal graph.Refusal, again bool) {
-	entry := l.log.WithField("job", id)
+func (l *leader) recordAdmission(s *graph.Submit, refusal graph.Refusal, again bool) {
+	entry := l.log.WithFields(logrus.Fields{
+		"job":   s.ID,
+		"queue": s.Address.Host + s.Address.Path,
+	})
 	l.scheduler.metrics.submits.WithLabelValues(string(refusal)).Inc()
 	if refusal == "" && !again {
 		l.mu.Lock()
-		l.admittedAt[id] = time.Now()
+		l.admittedAt[s.ID] = time.Now()
 		l.mu.Unlock()
+		entry = entry.WithField("steps", describeSteps(s.Spec.Steps))
 	}
 	if refusal != "" {
 		entry.WithField("refusal", refusal).Info("admit: refused")
@@ -53,6 +59,26 @@
 	entry.WithField("again", again).Info("admit: admitted")
 }
 
+// describeSteps returns the size of each step for log messages: the number of
+// tasks, the request of each, and whether they form a gang.
+func describeSteps(steps []graph.Step) string {
+	var b strings.Builder
+	for i := range steps {
+		step := &steps[i]
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%d x %dm %dMiB", step.Count, step.Resources.CPU, step.Resources.Memory)
+		if step.Resources.Accelerators > 0 {
+			fmt.Fprintf(&b, " %d accelerators", step.Resources.Accelerators)
+		}
+		if step.Gang {
+			b.WriteString(" gang")
+		}
+	}
+	return b.String()
+}
+
 func (l *leader) cancelJob(ctx context.Context, q *JobQuery) (Answer, *wire.Fault) {
 	result, fault := l.propose(ctx, graph.Command{Cancel: &graph.Cancel{
 		Address: q.Address,
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"sort"
 	"sync"
 	"time"
 
@@ -11,24 +10,13 @@
 
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
+	"github.com/jasmineward/jasmineward/pkg/fairq"
 )
 
 const (
 	// adviceTimeoutMargin is added to the expected time of an advice call to
 	// get its timeout.
 	adviceTimeoutMargin = 700 * time.Millisecond
-	// instanceHeardWithin is the maximum time since an instance was last heard
-	// from for it to be given advice calls.
-	instanceHeardWithin = 1500 * time.Millisecond
-	// shortCallLimit is the maximum expected time of a short call. Every
-	// reservedInstanceInterval-th instance is reserved for short calls, so that
-	// they do not queue behind long ones.
-	shortCallLimit           = 150 * time.Millisecond
-	reservedInstanceInterval = 4
-	// maxBacklog bounds the expected time of the calls queued for an instance.
-	// A call that does not fit waits for the next decision, which takes the
-	// most urgent step first.
-	maxBacklog = 900 * time.Millisecond
 	// initialApprovalRate is the assumed fraction of targets that the advisor
 	// approves before its first answer, and minApprovalRate is the lowest
 	// fraction used.
@@ -37,37 +25,36 @@
 	// approvalRateWeight is the weight of the newest answer in the moving
 	// average of that fraction.
 	approvalRateWeight = 0.1
-	// failedInstanceBackoff is how long an instance gets no calls after one of
-	// its calls failed.
-	failedInstanceBackoff = 2 * time.Second
 )
 
 // adviceClient caches the advisor's answers. It distributes advice calls over
-// the instances, because the advisor serves one call at a time per instance.
+// the instances, because the advisor serves one call at a time per instance,
+// and shares the instances' time among the queues.
 type adviceClient struct {
 	leader *leader
 
-	mu        sync.Mutex
-	answers   map[plan.StepKey]*plan.StepAdvice
-	instances map[string]*instanceLoad
+	mu      sync.Mutex
+	answers map[plan.StepKey]*plan.StepAdvice
+	callers *callers
+	share   fairq.Share[string]
+	// unusedAnswers has the steps with an answer on which no start is based yet.
+	unusedAnswers map[plan.StepKey]bool
+	// waitingSince has the time since when a step's request waits for a call.
+	waitingSince map[plan.StepKey]time.Time
 	// approvalRateByQueue is a moving average of the fraction of targets that
 	// the advisor approved, by queue.
 	approvalRateByQueue map[string]float64
 }
 
-// instanceLoad tracks the advice calls assigned to one instance.
-type instanceLoad struct {
-	// busyUntil is when the assigned calls are expected to complete.
-	busyUntil time.Time
-	// avoidUntil is when the instance may get calls again after a failure.
-	avoidUntil time.Time
-}
-
 func newAdviceClient(l *leader) *adviceClient {
 	return &adviceClient{
-		leader:              l,
-		answers:             map[plan.StepKey]*plan.StepAdvice{},
-		instances:           map[string]*instanceLoad{},
+		leader:  l,
+		answers: map[plan.StepKey]*plan.StepAdvice{},
+		callers: newCallers(func() []string {
+			return l.scheduler.host.LiveAddresses(instanceHeardWithin)
+		}),
+		unusedAnswers:       map[plan.StepKey]bool{},
+		waitingSince:        map[plan.StepKey]time.Time{},
 		approvalRateByQueue: map[string]float64{},
 	}
 }
@@ -91,28 +78,55 @@
 	return a.answers[key]
 }
 
-// request calls the advisor on a new goroutine, unless a call for the step is in
-// progress or every instance has a full backlog.
-func (a *adviceClient) request(request plan.AdviceRequest) {
+// freeCalls returns the number of calls that can be made now.
+func (a *adviceClient) freeCalls(now time.Time) int {
 	a.mu.Lock()
-	known := a.answers[request.Step]
-	if known != nil && known.InFlight {
-		a.mu.Unlock()
-		return
+	defer a.mu.Unlock()
+	idle, _ := a.callers.idle(now)
+	return len(idle)
+}
+
+// request starts calls for as many of the requests as there are idle instances.
+// The queues share the time of the instances; the requests of one queue are
+// served in the order given.
+func (a *adviceClient) request(requests []plan.AdviceRequest, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordWaits(requests, now)
+	idle, reserved := a.callers.idle(now)
+	backlog := newAdviceBacklog(requests, a.leader.scheduler.ledger.MostUrgentAdvice())
+	for i, request := range backlog.choose(&a.share, len(idle), reserved) {
+		a.startCall(request, idle[i], now)
 	}
-	address, wait := a.reserveInstance(expectedCallTime(request))
-	if address == "" {
-		a.mu.Unlock()
-		return
+}
+
+// recordWaits records since when each of the requests waits.
+func (a *adviceClient) recordWaits(requests []plan.AdviceRequest, now time.Time) {
+	waiting := make(map[plan.StepKey]time.Time, len(requests))
+	for _, request := range requests {
+		since, known := a.waitingSince[request.Step]
+		if !known {
+			since = now
+		}
+		waiting[request.Step] = since
 	}
+	a.waitingSince = waiting
+	a.leader.scheduler.metrics.adviceBacklog.Set(float64(len(requests)))
+}
+
+// startCall calls the advisor on a new goroutine. The lock must be held.
+func (a *adviceClient) startCall(request plan.AdviceRequest, address string, now time.Time) {
+	waited := now.Sub(a.waitingSince[request.Step])
+	a.leader.scheduler.metrics.adviceWait.Observe(waited.Seconds())
+	delete(a.waitingSince, request.Step)
 	next := &plan.StepAdvice{InFlight: true}
-	if known != nil {
+	if known := a.answers[request.Step]; known != nil {
 		next.Approved = known.Approved
 		next.Requested = known.Requested
 	}
 	a.answers[request.Step] = next
-	a.mu.Unlock()
-	a.leader.goroutines.Go(func() { a.callAdvisor(request, address, wait) })
+	a.callers.calling[address] = true
+	a.leader.goroutines.Go(func() { a.callAdvisor(request, address, waited) })
 }
 
 // expectedCallTime returns the expected time of the call for the request.
@@ -120,70 +134,22 @@
 	return request.Queue.Advice.Base + time.Duration(len(request.Targets))*request.Queue.Advice.Each
 }
 
-// hasCapacity reports whether an instance can take a call of the expected time
-// now.
-func (a *adviceClient) hasCapacity(callTime time.Duration) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.leastLoadedInstance(callTime, time.Now()) != ""
-}
-
-// reserveInstance assigns a call to the least loaded instance, and returns its
-// address and the expected time until the call completes. It returns "" when
-// every instance has a full backlog.
-func (a *adviceClient) reserveInstance(callTime time.Duration) (string, time.Duration) {
-	now := time.Now()
-	best := a.leastLoadedInstance(callTime, now)
-	if best == "" {
-		return "", 0
-	}
-	instance := a.instances[best]
-	instance.busyUntil = instance.busyUntil.Add(callTime)
-	return best, instance.busyUntil.Sub(now)
-}
-
-// leastLoadedInstance returns the address of the instance that is expected to
-// complete its calls first, or "" when every instance has a full backlog.
-func (a *adviceClient) leastLoadedInstance(callTime time.Duration, now time.Time) string {
-	addresses := a.leader.scheduler.host.LiveAddresses(instanceHeardWithin)
-	sort.Strings(addresses)
-	best := ""
-	for i, address := range addresses {
-		instance := a.instances[address]
-		if instance == nil {
-			instance = &instanceLoad{}
-			a.instances[address] = instance
-		}
-		if instance.busyUntil.Before(now) {
-			instance.busyUntil = now
-		}
-		reserved := i%reservedInstanceInterval == 0 && len(addresses) > 1
-		if instance.avoidUntil.After(now) || reserved && callTime > shortCallLimit {
-			continue
-		}
-		if best == "" || instance.busyUntil.Before(a.instances[best].busyUntil) {
-			best = address
-		}
-	}
-	if best == "" || a.instances[best].busyUntil.Sub(now) > maxBacklog {
-		return ""
-	}
-	return best
-}
-
 // callAdvisor makes the call through the instance at the address and stores its
 // result.
-func (a *adviceClient) callAdvisor(request plan.AdviceRequest, address string, wait time.Duration) {
+func (a *adviceClient) callAdvisor(request plan.AdviceRequest, address string, waited time.Duration) {
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(a.leader.ctx, wait+adviceTimeoutMargin)
+	limit := expectedCallTime(request) + adviceTimeoutMargin
+	ctx, cancel := context.WithTimeout(a.leader.ctx, limit)
 	defer cancel()
-	answer, err := a.callThrough(ctx, request, address, wait+adviceTimeoutMargin)
+	answer, err := a.callThrough(ctx, request, address, limit)
 	observeSince(a.leader.scheduler.metrics.advice, sent)
 	fields := logrus.Fields{
 		"job":     request.Step.Job,
+		"queue":   request.Queue.Name,
 		"step":    request.Step.Step,
 		"asked":   len(request.Targets),
 		"through": address,
+		"waited":  waited.Milliseconds(),
 		"took":    time.Since(sent).Milliseconds(),
 	}
 	if err != nil {
@@ -194,7 +160,7 @@
 	}
 	fields["good"] = len(answer.Good)
 	a.leader.log.WithFields(fields).Info("advice: answered")
-	a.store(request, answer, sent)
+	a.store(request, answer, address, sent)
 	a.leader.wakeDecisionLoop()
 }
 
@@ -227,9 +193,8 @@
 func (a *adviceClient) recordFailure(key plan.StepKey, address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if instance := a.instances[address]; instance != nil {
-		instance.avoidUntil = time.Now().Add(failedInstanceBackoff)
-	}
+	delete(a.callers.calling, address)
+	a.callers.fail(address, time.Now())
 	if known := a.answers[key]; known != nil {
 		a.answers[key] = &plan.StepAdvice{
 			Approved:  known.Approved,
@@ -241,9 +206,12 @@
 // store merges an answer into the cache. Tickets are issued after the call
 // is sent, so their validity is counted from the sending time plus the expected
 // time of the call.
-func (a *adviceClient) store(request plan.AdviceRequest, answer Advice, sent time.Time) {
+func (a *adviceClient) store(request plan.AdviceRequest, answer Advice, address string, sent time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	delete(a.callers.calling, address)
+	a.unusedAnswers[request.Step] = true
+	a.leader.scheduler.metrics.adviceAnswers.Inc()
 	next := &plan.StepAdvice{
 		Approved:  map[string]plan.Ticket{},
 		Requested: map[string]bool{},
@@ -286,6 +254,18 @@
 	for key, known := range a.answers {
 		if !known.InFlight && !a.leader.scheduler.ledger.IsLive(key.Job) {
 			delete(a.answers, key)
+			delete(a.unusedAnswers, key)
 		}
 	}
 }
+
+// recordStart records that tasks of the step are started with tickets from its
+// latest answer.
+func (a *adviceClient) recordStart(key plan.StepKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unusedAnswers[key] {
+		delete(a.unusedAnswers, key)
+		a.leader.scheduler.metrics.adviceAnswersUsed.Inc()
+	}
+}
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -59,21 +59,22 @@
 	now := time.Now()
 	l.scheduler.ledger.View(now, func(v *graph.View) {
 		decision = plan.Decide(plan.Input{
-			View:             v,
-			Now:              now,
-			Advice:           l.advice.lookup,
-			ApprovalRate:     l.advice.approvalRate,
-			CanRequestAdvice: l.advice.hasCapacity,
-			Usable:           func(id graph.TargetID) bool { return l.usable(id, now) },
-			Pending:          pending,
-			Speed:            l.rater.Speed,
+			View:            v,
+			Now:             now,
+			Advice:          l.advice.lookup,
+			ApprovalRate:    l.advice.approvalRate,
+			FreeAdviceCalls: l.advice.freeCalls(now),
+			ExpectedEnd:     l.expectedEnd,
+			Holds:           l.holds,
+			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
+			Pending:         pending,
+			Speed:           l.rater.Speed,
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
 	l.waitLog.update(now, decision.WaitReasons)
-	for _, request := range decision.AdviceRequests {
-		l.advice.request(request)
-	}
+	l.holds = decision.Holds
+	l.advice.request(decision.AdviceRequests, now)
 	if len(decision.Groups) == 0 {
 		return
 	}
@@ -123,6 +124,7 @@
 	}
 	for step, placements := range placed {
 		l.observeFirstPlacement(step.Job)
+		l.advice.recordStart(step)
 		l.log.WithFields(logrus.Fields{
 			"job":   step.Job,
 			"tasks": strings.Join(placements, " "),
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -39,6 +39,9 @@
 
 	rater   *rating.Rater[plan.StepKey, graph.TargetID]
 	waitLog *waitLog
+	// holds is the room held by the last decision. Only the decision loop uses
+	// it.
+	holds map[plan.StepKey]*plan.Hold
 	// startLatency estimates the time until a start is answered.
 	startLatency *delay.Estimator
 
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -17,17 +17,24 @@
 // metrics are the metrics of one instance. Labels have few distinct values, so
 // they do not include names of jobs, client accounts or targets.
 type metrics struct {
-	registry       *prometheus.Registry
-	leading        prometheus.Gauge
-	submits        *prometheus.CounterVec
-	orders         *prometheus.CounterVec
-	routes         *prometheus.CounterVec
-	runsEnded      *prometheus.CounterVec
-	electionsWon   prometheus.Counter
-	waiting        *prometheus.GaugeVec
-	commit         prometheus.Histogram
-	logSync        prometheus.Histogram
-	advice         prometheus.Histogram
+	registry      *prometheus.Registry
+	leading       prometheus.Gauge
+	submits       *prometheus.CounterVec
+	orders        *prometheus.CounterVec
+	routes        *prometheus.CounterVec
+	runsEnded     *prometheus.CounterVec
+	electionsWon  prometheus.Counter
+	waiting       *prometheus.GaugeVec
+	commit        prometheus.Histogram
+	logSync       prometheus.Histogram
+	advice        prometheus.Histogram
+	adviceWait    prometheus.Histogram
+	adviceBacklog prometheus.Gauge
+	// adviceAnswers counts the advisor's answers, and adviceAnswersUsed those on
+	// which a start is based.
+	adviceAnswers     prometheus.Counter
+	adviceAnswersUsed prometheus.Counter
+
 	firstPlacement prometheus.Histogram
 	decide         prometheus.Histogram
 }
@@ -70,9 +77,22 @@
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
 		}, []string{"reason"}),
-		logSync:        histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
-		commit:         histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
-		advice:         histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
+		logSync:    histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
+		commit:     histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
+		advice:     histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
+		adviceWait: histogram("jasmineward_advice_wait_seconds", "Time that a request for advice waited for its call."),
+		adviceBacklog: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "jasmineward_advice_backlog",
+			Help: "Requests for advice of the last decision, before calls were made.",
+		}),
+		adviceAnswers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jasmineward_advice_answers_total",
+			Help: "Answers of the advisor to this leader.",
+		}),
+		adviceAnswersUsed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jasmineward_advice_answers_used_total",
+			Help: "Answers of the advisor that a task was started with.",
+		}),
 		firstPlacement: histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
 		decide: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "jasmineward_plan_seconds",
@@ -80,7 +100,8 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.waiting, m.commit, m.logSync, m.advice, m.firstPlacement, m.decide,
+	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -36,6 +36,24 @@
 	}
 }
 
+// Min returns the smaller of r and other in each component.
+func (r Resources) Min(other Resources) Resources {
+	return Resources{
+		CPU:          min(r.CPU, other.CPU),
+		Memory:       min(r.Memory, other.Memory),
+		Accelerators: min(r.Accelerators, other.Accelerators),
+	}
+}
+
+// Max returns the larger of r and other in each component.
+func (r Resources) Max(other Resources) Resources {
+	return Resources{
+		CPU:          max(r.CPU, other.CPU),
+		Memory:       max(r.Memory, other.Memory),
+		Accelerators: max(r.Accelerators, other.Accelerators),
+	}
+}
+
 // Times returns r multiplied by n.
 func (r Resources) Times(n int) Resources {
 	return Resources{
