--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -125,14 +125,14 @@
 func (r *router) followSuggestion(from, leader string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case leader == "":
+	switch leader {
+	case "":
 		return false
-	case leader == from:
+	case from:
 		r.lostLeader = ""
 		r.SetLeader(leader)
 		return true
-	case leader == r.lostLeader:
+	case r.lostLeader:
 		return false
 	}
 	r.SuggestLeader(leader)
