Log for whom room is held, and on which targets

A gang or large task that waits is found by its line 'sched: holds room', with the targets and how soon the room is expected; the reason 'held' in 'sched: waits' marks the work that waits for it.

--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -73,6 +73,7 @@
 	})
 	observeSince(l.scheduler.metrics.decide, now)
 	l.waitLog.update(now, decision.WaitReasons)
+	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.advice.request(decision.AdviceRequests, now)
 	if len(decision.Groups) == 0 {
--- a/internal/push/waitlog.go
+++ b/internal/push/waitlog.go
@@ -1,6 +1,9 @@
 package push
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -74,3 +77,27 @@
 		w.gauge.WithLabelValues(string(reason)).Inc()
 	}
 }
+
+// logHolds logs the steps for which room is held on other targets than before.
+func (w *waitLog) logHolds(now time.Time, before, after map[plan.StepKey]*plan.Hold) {
+	for step, hold := range after {
+		if sameTargets(before[step], hold) {
+			continue
+		}
+		targets := make([]string, 0, len(hold.Targets))
+		for _, held := range hold.Targets {
+			targets = append(targets, fmt.Sprintf("%s+%dms", held.ID, held.StartsAt.Sub(now).Milliseconds()))
+		}
+		w.log.WithFields(logrus.Fields{
+			"job":        step.Job,
+			"occurrence": step.Occurrence,
+			"step":       step.Step,
+			"targets":    strings.Join(targets, " "),
+		}).Info("sched: holds room")
+	}
+}
+
+// sameTargets reports whether both hold room on the same targets.
+func sameTargets(a, b *plan.Hold) bool {
+	return a != nil && slices.EqualFunc(a.Targets, b.Targets, func(x, y plan.HeldTarget) bool { return x.ID == y.ID })
+}
