Announce targets at a cost that does not grow with their number

Change: an index of incarnations by target; heartbeats wait for an announcement of their target that is being committed.

--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +20,8 @@
 	// liveJobs are the jobs that are not in a final state.
 	liveJobs map[JobID]*Job
 	targets  map[TargetID]*Target
+	// incarnations has the incarnations of each target that are in targets.
+	incarnations map[string][]int64
 	// usageByClientAccount is the sum of the resource requests of active runs.
 	usageByClientAccount map[string]quota.Resources
 	// pendingByQueue counts the live jobs of which no task has been placed.
@@ -41,6 +44,7 @@
 	l.jobs = map[JobID]*Job{}
 	l.liveJobs = map[JobID]*Job{}
 	l.targets = map[TargetID]*Target{}
+	l.incarnations = map[string][]int64{}
 	l.usageByClientAccount = map[string]quota.Resources{}
 	l.pendingByQueue = map[string]int{}
 }
@@ -191,13 +195,19 @@
 	t := l.targets[a.ID]
 	if t == nil {
 		t = &Target{Runs: map[TaskRef]ActiveRun{}}
-		l.targets[a.ID] = t
+		l.addTarget(a.ID, t)
 	}
 	leaving := t.Leaving || a.Leaving
 	t.Announcement = *a
 	t.Leaving = leaving
 }
 
+// addTarget adds a target that is not yet known.
+func (l *Ledger) addTarget(id TargetID, t *Target) {
+	l.targets[id] = t
+	l.incarnations[id.ID] = append(l.incarnations[id.ID], id.Incarnation)
+}
+
 // removeTarget removes the target and ends all its runs with
 // OutcomeLeaseExpired.
 func (l *Ledger) removeTarget(id TargetID) {
@@ -214,6 +224,12 @@
 		})
 	}
 	delete(l.targets, id)
+	others := slices.DeleteFunc(l.incarnations[id.ID], func(i int64) bool { return i == id.Incarnation })
+	if len(others) == 0 {
+		delete(l.incarnations, id.ID)
+		return
+	}
+	l.incarnations[id.ID] = others
 }
 
 func (l *Ledger) evict(e *Evict) {
@@ -323,7 +339,7 @@
 			t.Runs[ref] = run
 			l.usageByClientAccount[run.ClientAccount] = l.usageByClientAccount[run.ClientAccount].Add(run.Resources)
 		}
-		l.targets[t.ID] = &t
+		l.addTarget(t.ID, &t)
 	}
 	return nil
 }
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -123,6 +123,23 @@
 	return all
 }
 
+// OlderIncarnations returns the known incarnations of the target that are older
+// than the given one.
+func (l *Ledger) OlderIncarnations(id TargetID) []TargetID {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var older []TargetID
+	for _, incarnation := range l.incarnations[id.ID] {
+		if incarnation < id.Incarnation {
+			older = append(older, TargetID{
+				ID:          id.ID,
+				Incarnation: incarnation,
+			})
+		}
+	}
+	return older
+}
+
 // Target returns a copy of the target without its runs.
 func (l *Ledger) Target(id TargetID) (Target, bool) {
 	l.mu.RLock()
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -122,7 +122,9 @@
 }
 
 // handleHeartbeat processes a heartbeat. It returns without a fault only after
-// any change that the heartbeat announces is committed.
+// any change that the heartbeat announces is committed. A target whose heartbeat
+// is not answered in time sends it again, so heartbeats that come while a change
+// of the target is being committed wait for that instead of proposing it again.
 func (l *leader) handleHeartbeat(ctx context.Context, h *Heartbeat) *wire.Fault {
 	id := h.Announce.ID
 	if l.incarnationEnded(id) {
@@ -133,20 +135,61 @@
 		return nil
 	}
 	known, ok := l.scheduler.ledger.Target(id)
-	if !ok || announcementChanged(&known, &h.Announce) {
-		if fault := l.announce(ctx, h); fault != nil {
-			return fault
+	for !ok || announcementChanged(&known, &h.Announce) {
+		done, first := l.claimAnnouncement(id)
+		if first {
+			fault := l.announce(ctx, h)
+			l.releaseAnnouncement(id)
+			if fault != nil {
+				return fault
+			}
+		} else if !waitFor(ctx, done) {
+			return wire.NewFault(wire.CodeUnavailable, "announcement is being committed")
 		}
-		if known, ok = l.scheduler.ledger.Target(id); !ok {
-			return nil
+		known, ok = l.scheduler.ledger.Target(id)
+		if first {
+			break
 		}
 	}
+	if !ok {
+		return nil
+	}
 	if d := l.ensureDriver(known); d != nil {
 		d.recordHeartbeat(h.Clock)
 	}
 	return nil
 }
 
+// claimAnnouncement returns true if no announcement of the incarnation is being
+// committed, and otherwise a channel that is closed when that one is done.
+func (l *leader) claimAnnouncement(id graph.TargetID) (done <-chan struct{}, first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if current, found := l.announcing[id]; found {
+		return current, false
+	}
+	l.announcing[id] = make(chan struct{})
+	return nil, true
+}
+
+func (l *leader) releaseAnnouncement(id graph.TargetID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.announcing[id])
+	delete(l.announcing, id)
+}
+
+// waitFor waits until the channel is closed. It returns false if the context ends
+// first.
+func waitFor(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // incarnationEnded reports whether the incarnation has ended or been replaced
 // by a newer one. Otherwise it records the incarnation as the newest of its
 // target.
@@ -170,13 +213,7 @@
 // announce commits the announcement, after ending any older incarnations of the
 // target.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
-	var older []graph.TargetID
-	for _, t := range l.scheduler.ledger.Targets() {
-		if t.ID.ID == h.Announce.ID.ID && t.ID.Incarnation < h.Announce.ID.Incarnation {
-			older = append(older, t.ID)
-		}
-	}
-	if len(older) > 0 {
+	if older := l.scheduler.ledger.OlderIncarnations(h.Announce.ID); len(older) > 0 {
 		if fault := l.endIncarnations("newer lifetime announced", older...); fault != nil {
 			return fault
 		}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -54,6 +54,8 @@
 	// and that have no placement yet.
 	admittedAt map[graph.JobID]time.Time
 	drivers    map[graph.TargetID]*driver
+	// announcing has the incarnations whose announcement is being committed.
+	announcing map[graph.TargetID]chan struct{}
 	// newestIncarnation is the newest known incarnation by target id, and
 	// endedIncarnations is the set of incarnations that have left.
 	newestIncarnation map[string]int64
@@ -82,6 +84,7 @@
 		startLatency: delay.NewEstimator(minStartTimeout, s.timing.CallTimeout),
 
 		drivers:           map[graph.TargetID]*driver{},
+		announcing:        map[graph.TargetID]chan struct{}{},
 		newestIncarnation: map[string]int64{},
 		endedIncarnations: map[graph.TargetID]bool{},
 		ctx:               ctx,
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,6 +163,38 @@
 	s.c.Assert(s.runCount("w0"), qt.Equals, 0)
 }
 
+// While the log is slow, a target sends its first heartbeat again and again. The
+// leader must commit its announcement once, or the log gets slower still.
+func TestRepeatedHeartbeatsAnnounceOnce(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	l := s.scheduler.currentLeader.Load()
+	heartbeat := &Heartbeat{
+		Announce: graph.Announcement{
+			ID:      graph.TargetID{ID: "w1"},
+			Service: "s",
+			Address: "w1",
+		},
+		Clock: Clock(time.Second),
+	}
+	done, first := l.claimAnnouncement(heartbeat.Announce.ID)
+	s.c.Assert(first, qt.IsTrue)
+	s.c.Assert(done, qt.IsNil)
+	var waiting sync.WaitGroup
+	for range 20 {
+		waiting.Go(func() {
+			s.c.Check(l.handleHeartbeat(s.ctx(), heartbeat) == nil, qt.IsTrue)
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	_, known := s.scheduler.ledger.Target(heartbeat.Announce.ID)
+	s.c.Check(known, qt.IsFalse)
+	before := s.scheduler.host.Replica().Status().Commit
+	s.c.Assert(l.announce(s.ctx(), heartbeat) == nil, qt.IsTrue)
+	l.releaseAnnouncement(heartbeat.Announce.ID)
+	waiting.Wait()
+	s.c.Check(s.scheduler.host.Replica().Status().Commit-before, qt.Equals, uint64(1))
+}
+
 // A decision looks up drivers while it reads the ledger. A driver that was created
 // meanwhile read the ledger with the leader's lock held: with a command waiting to be
 // applied, each waited for the other and the leader stood still for good.
