--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,6 +38,9 @@
 func (s *rpcService) Hello(args *wire.HelloArgs, reply *wire.Reply[wire.HelloReply]) error {
 	h := s.host
 	h.RecordHello(args.Name)
+	if args.Leads {
+		h.router.followNewLeader(args.Name)
+	}
 	reply.Value = wire.HelloReply{
 		Name:       h.cfg.Name,
 		Cell:       h.cellName(),
@@ -62,6 +67,34 @@
 	h.helloAt[address] = time.Now()
 }
 
+// AnnounceLeadership tells the members, and the instances that have sent a Hello
+// call within the duration, that this instance leads. They need not wait until they
+// miss the old leader and find the new one by a search.
+func (h *Host) AnnounceLeadership(within time.Duration) {
+	addresses := h.LiveAddresses(within)
+	for _, member := range h.Peers() {
+		addresses = append(addresses, member.Address)
+	}
+	slices.Sort(addresses)
+	args := h.router.helloArgs()
+	args.Leads = true
+	var calls sync.WaitGroup
+	for _, address := range slices.Compact(addresses) {
+		if address == h.cfg.Address {
+			continue
+		}
+		calls.Go(func() {
+			_, err := CallAddress[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, args, helloTimeout)
+			if err != nil {
+				h.log.WithError(err).WithField("instance", address).Debug("group: leadership not announced")
+				return
+			}
+			h.RecordHello(address)
+		})
+	}
+	calls.Wait()
+}
+
 // LiveAddresses returns the addresses of this instance and of those that have
 // sent a Hello call within the duration.
 func (h *Host) LiveAddresses(within time.Duration) []string {
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -26,13 +26,12 @@
 	// replyGrace is how long a search waits for further replies after the first
 	// one, which may come from an instance that does not know the leader.
 	replyGrace = 100 * time.Millisecond
-	// An instance counts as cut off once neither the leader nor any other peer
-	// has replied for silenceTimeout.
-	silenceTimeout = 1500 * time.Millisecond
-	// maxCutOffWait is the fraction of a call's time that the call waits on an
-	// instance that is cut off. The caller may then reach a leader through
-	// another instance.
-	maxCutOffWait = 0.5
+	// A call fails once no leader has replied for leaderTimeout and the call
+	// itself has waited for maxLeaderWait of its time, or for leaderTimeout if
+	// that is less. A new leader is mostly there by then; if not, the caller may
+	// reach it through another instance in the time that is left.
+	leaderTimeout = 1500 * time.Millisecond
+	maxLeaderWait = 0.5
 	// retryAfter is the delay before a retry that a call reports to its caller when
 	// it fails because no leader has replied.
 	retryAfter = time.Second
@@ -47,14 +46,14 @@
 	mu          sync.Mutex
 	pingClient  *peer.Client
 	pingAddress string
-	// confirmedAt is the time of the leader's latest reply, and repliedAt that
-	// of the latest reply of any instance.
+	// confirmedAt is the time of the leader's latest reply.
 	confirmedAt time.Time
-	repliedAt   time.Time
 	// lostLeader is the address of a leader that did not answer. Peers may go on
 	// naming it until they have elected another one, so it is only taken as the
 	// leader again when it answers itself.
 	lostLeader string
+	// nextPeer is the position of the peer to greet next.
+	nextPeer int
 }
 
 func newRouter(h *Host) *router {
@@ -70,6 +69,7 @@
 func (r *router) run() {
 	interval := pingInterval
 	for SleepContext(r.host.ctx, interval) {
+		r.host.wg.Go(r.greetNextPeer)
 		r.ping()
 		interval = pingInterval
 		if r.Leader() == "" {
@@ -139,18 +139,31 @@
 	return r.Leader() == leader
 }
 
-// recordReply records that another instance has just replied.
-func (r *router) recordReply() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.repliedAt = time.Now()
+// followNewLeader takes an instance that has announced its leadership as the leader.
+// Calls that wait for the old leader's reply fail and are made again.
+func (r *router) followNewLeader(address string) {
+	old := r.Leader()
+	r.followSuggestion(address, address)
+	if old != "" && old != address {
+		r.Client(old).Reset()
+		r.host.log.WithField("leader", address).Info("router: leader announced itself")
+	}
 }
 
-// isCutOff reports whether no other instance has replied for silenceTimeout.
-func (r *router) isCutOff() bool {
+// greetNextPeer sends a Hello call to the next of the other known instances, so that
+// each of them knows this instance and can announce its leadership to it.
+func (r *router) greetNextPeer() {
+	addresses := r.knownAddresses()
+	if len(addresses) == 0 {
+		return
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Since(r.repliedAt) > silenceTimeout && time.Since(r.confirmedAt) > silenceTimeout
+	address := addresses[r.nextPeer%len(addresses)]
+	r.nextPeer++
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
+	defer cancel()
+	r.queryPeer(ctx, address)
 }
 
 // helloArgs returns the arguments of a Hello call, whose Name field holds the
@@ -229,11 +242,7 @@
 		case <-grace:
 			return fallback
 		}
-		if reply.hello == nil {
-			continue
-		}
-		r.recordReply()
-		if reply.hello.Cell == "" {
+		if reply.hello == nil || reply.hello.Cell == "" {
 			continue
 		}
 		if r.followSuggestion(reply.address, reply.hello.Leader) {
@@ -299,17 +308,16 @@
 }
 
 // CallLeader sends an idempotent call to the leader. It retries until the
-// context ends: while there is no leader, the other instances cannot serve the
-// call either. On an instance that is cut off it gives up earlier. If this
-// instance is the leader, local serves the call.
+// context ends, or until no leader was found for a part of the call's time. If
+// this instance is the leader, local serves the call.
 func CallLeader[A, V any](
 	ctx context.Context, h *Host, method string, args *A, local func(*A, *wire.Reply[V]) error,
 ) (V, *wire.Fault) {
 	backoff := minBackoff
 	started := time.Now()
-	cutOffWait := silenceTimeout
+	leaderWait := leaderTimeout
 	if deadline, ok := ctx.Deadline(); ok {
-		cutOffWait = min(cutOffWait, time.Duration(maxCutOffWait*float64(deadline.Sub(started))))
+		leaderWait = min(leaderWait, time.Duration(maxLeaderWait*float64(deadline.Sub(started))))
 	}
 	for {
 		reply, err := callOnce(ctx, h, method, args, local)
@@ -325,8 +333,8 @@
 		}
 		wait := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
-		cutOff := time.Since(started) > cutOffWait && h.router.isCutOff()
-		if cutOff || !SleepContext(ctx, wait) {
+		noLeader := time.Since(started) > leaderWait && !h.IsLeaderReachable(leaderTimeout)
+		if noLeader || !SleepContext(ctx, wait) {
 			fault := wire.NewFault(wire.CodeUnavailable, "no leader answered in time")
 			fault.RetryAfter = retryAfter
 			return reply.Value, fault
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -56,7 +56,14 @@
 // canRequestAdvice reports whether a request of the step's queue could be served
 // now, were it the next one.
 func (p *planner) canRequestAdvice(step *pendingStep) bool {
-	return p.adviceRequestsByQueue[step.queue.Name] < p.input.FreeAdviceCalls
+	name := step.queue.Name
+	free, known := p.freeCallsByQueue[name]
+	if !known {
+		timing := step.queue.Advice
+		free = p.input.FreeAdviceCalls(timing.Base + minTargetsPerRequest*timing.Each)
+		p.freeCallsByQueue[name] = free
+	}
+	return p.adviceRequestsByQueue[name] < free
 }
 
 // nameTargets names approved targets with room whose tickets have expired, then
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -72,8 +72,9 @@
 	ApprovalRate func(queue string) float64
 	// Usable reports whether the target responds.
 	Usable func(graph.TargetID) bool
-	// FreeAdviceCalls is the number of advice calls that can be made now.
-	FreeAdviceCalls int
+	// FreeAdviceCalls returns how many advice calls of the given expected time
+	// can be made now.
+	FreeAdviceCalls func(callTime time.Duration) int
 	// ExpectedEnd predicts the end of a run from its progress, or returns false.
 	ExpectedEnd func(graph.TargetID, graph.TaskRef) (time.Time, bool)
 	// Holds has the room held by the previous decision.
@@ -141,8 +142,10 @@
 	// sortedServices contains the services whose targets are already sorted
 	// by free share.
 	sortedServices map[string]bool
-	// adviceRequestsByQueue counts the advice requests of the decision.
+	// adviceRequestsByQueue counts the advice requests of the decision, and
+	// freeCallsByQueue caches how many calls of a queue can be made.
 	adviceRequestsByQueue map[string]int
+	freeCallsByQueue      map[string]int
 	// heldTargets counts the targets with held room by service.
 	heldTargets map[string]int
 	// largestByService caches the result of largestTarget.
@@ -161,6 +164,7 @@
 		sortedServices:       map[string]bool{},
 
 		adviceRequestsByQueue: map[string]int{},
+		freeCallsByQueue:      map[string]int{},
 		heldTargets:           map[string]int{},
 		largestByService:      map[string]quota.Resources{},
 	}
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -91,13 +91,10 @@
 	return graph.Millis(queue.Stretch*float64(criticalPath)) + queue.Latency
 }
 
-// moreUrgent reports whether a is placed before b. Work that can still meet its
-// deadline goes before work that is late anyway, so that a backlog does not make
-// all work late that comes after it.
+// moreUrgent reports whether a is placed before b. Among steps of one priority, work
+// that can still meet its deadline goes before work that is late anyway, so that a
+// backlog does not make all work late that comes after it.
 func moreUrgent(a, b *pendingStep) bool {
-	if a.late != b.late {
-		return b.late
-	}
 	if a.priority != b.priority {
 		return a.priority < b.priority
 	}
@@ -107,6 +104,9 @@
 	if a.spec.BestEffort != b.spec.BestEffort {
 		return b.spec.BestEffort
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	if a.deadline != b.deadline {
 		return a.deadline < b.deadline
 	}
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -78,25 +78,24 @@
 	return a.answers[key]
 }
 
-// freeCalls returns the number of calls that can be made now.
-func (a *adviceClient) freeCalls(now time.Time) int {
+// freeCalls returns how many calls of the given time can be made now, if calls are
+// assigned again after the horizon.
+func (a *adviceClient) freeCalls(now time.Time, horizon time.Duration) func(callTime time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	idle, _ := a.callers.idle(now)
-	return len(idle)
+	return a.callers.slots(now, horizon).count
 }
 
-// request starts calls for as many of the requests as there are idle instances.
-// The queues share the time of the instances; the requests of one queue are
-// served in the order given.
-func (a *adviceClient) request(requests []plan.AdviceRequest, now time.Time) {
+// request starts calls for as many of the requests as the instances can serve until
+// calls are assigned again, after the horizon. The queues share the time of the
+// instances; the requests of one queue are served in the order given.
+func (a *adviceClient) request(requests []plan.AdviceRequest, now time.Time, horizon time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordWaits(requests, now)
-	idle, reserved := a.callers.idle(now)
 	backlog := newAdviceBacklog(requests, a.leader.scheduler.ledger.MostUrgentAdvice())
-	for i, request := range backlog.choose(&a.share, len(idle), reserved) {
-		a.startCall(request, idle[i], now)
+	for _, call := range backlog.assign(&a.share, a.callers.slots(now, horizon)) {
+		a.startCall(call, now)
 	}
 }
 
@@ -115,7 +114,8 @@
 }
 
 // startCall calls the advisor on a new goroutine. The lock must be held.
-func (a *adviceClient) startCall(request plan.AdviceRequest, address string, now time.Time) {
+func (a *adviceClient) startCall(call assignedCall, now time.Time) {
+	request := call.request
 	waited := now.Sub(a.waitingSince[request.Step])
 	a.leader.scheduler.metrics.adviceWait.Observe(waited.Seconds())
 	delete(a.waitingSince, request.Step)
@@ -125,8 +125,8 @@
 		next.Requested = known.Requested
 	}
 	a.answers[request.Step] = next
-	a.callers.calling[address] = true
-	a.leader.goroutines.Go(func() { a.callAdvisor(request, address, waited) })
+	a.callers.start(call.address, now, call.until)
+	a.leader.goroutines.Go(func() { a.callAdvisor(call, waited) })
 }
 
 // expectedCallTime returns the expected time of the call for the request.
@@ -136,9 +136,10 @@
 
 // callAdvisor makes the call through the instance at the address and stores its
 // result.
-func (a *adviceClient) callAdvisor(request plan.AdviceRequest, address string, waited time.Duration) {
+func (a *adviceClient) callAdvisor(call assignedCall, waited time.Duration) {
+	request, address := call.request, call.address
 	sent := time.Now()
-	limit := expectedCallTime(request) + adviceTimeoutMargin
+	limit := call.until + adviceTimeoutMargin
 	ctx, cancel := context.WithTimeout(a.leader.ctx, limit)
 	defer cancel()
 	answer, err := a.callThrough(ctx, request, address, limit)
@@ -193,7 +194,6 @@
 func (a *adviceClient) recordFailure(key plan.StepKey, address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.callers.calling, address)
 	a.callers.fail(address, time.Now())
 	if known := a.answers[key]; known != nil {
 		a.answers[key] = &plan.StepAdvice{
@@ -209,7 +209,7 @@
 func (a *adviceClient) store(request plan.AdviceRequest, answer Advice, address string, sent time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.callers.calling, address)
+	a.callers.finish(address)
 	a.unusedAnswers[request.Step] = true
 	a.leader.scheduler.metrics.adviceAnswers.Inc()
 	next := &plan.StepAdvice{
--- a/internal/push/backlog.go
+++ b/internal/push/backlog.go
@@ -1,6 +1,8 @@
 package push
 
 import (
+	"time"
+
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/pkg/fairq"
 )
@@ -30,12 +32,20 @@
 	return b
 }
 
-// choose removes and returns the requests to serve now, at most one for each
-// idle instance. The last reserved ones of them go to urgent requests only.
-func (b *adviceBacklog) choose(share *fairq.Share[string], idle, reserved int) []plan.AdviceRequest {
-	var chosen []plan.AdviceRequest
-	for ; idle > 0; idle-- {
-		queues := b.queuesToServe(idle <= reserved)
+// assignedCall is a request that an instance is to serve.
+type assignedCall struct {
+	request plan.AdviceRequest
+	address string
+	// until is the expected time until the call is answered.
+	until time.Duration
+}
+
+// assign removes the requests that the instances can serve now and returns them
+// with their instances.
+func (b *adviceBacklog) assign(share *fairq.Share[string], slots *callSlots) []assignedCall {
+	var calls []assignedCall
+	for !slots.isEmpty() {
+		queues := b.queuesToServe(slots.isForUrgent())
 		i := share.Next(queues)
 		if i < 0 {
 			break
@@ -43,10 +53,16 @@
 		name := queues[i]
 		request := b.requests[name][0]
 		b.requests[name] = b.requests[name][1:]
-		share.Charge(name, expectedCallTime(request))
-		chosen = append(chosen, request)
+		callTime := expectedCallTime(request)
+		share.Charge(name, callTime)
+		address, until := slots.take(callTime)
+		calls = append(calls, assignedCall{
+			request: request,
+			address: address,
+			until:   until,
+		})
 	}
-	return chosen
+	return calls
 }
 
 // queuesToServe returns the queues with requests, or the urgent ones of them.
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -39,7 +39,8 @@
 		if l.canSendOrders() {
 			l.decide()
 		}
-		if !group.SleepContext(l.ctx, max(minDecisionPause, decisionPauseFactor*time.Since(started))) {
+		l.decisionPause = max(minDecisionPause, decisionPauseFactor*time.Since(started))
+		if !group.SleepContext(l.ctx, l.decisionPause) {
 			return
 		}
 	}
@@ -63,7 +64,7 @@
 			Now:             now,
 			Advice:          l.advice.lookup,
 			ApprovalRate:    l.advice.approvalRate,
-			FreeAdviceCalls: l.advice.freeCalls(now),
+			FreeAdviceCalls: l.advice.freeCalls(now, l.decisionPause),
 			ExpectedEnd:     l.expectedEnd,
 			Holds:           l.holds,
 			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
@@ -75,7 +76,7 @@
 	l.waitLog.update(now, decision.WaitReasons)
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
-	l.advice.request(decision.AdviceRequests, now)
+	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
 	if len(decision.Groups) == 0 {
 		return
 	}
--- a/internal/push/instances.go
+++ b/internal/push/instances.go
@@ -1,7 +1,8 @@
 package push
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -18,43 +19,146 @@
 	failedInstanceBackoff = 2 * time.Second
 )
 
+// caller is an instance that makes advice calls.
+type caller struct {
+	// calls counts the calls in progress, which the advisor serves one after the
+	// other, and busyUntil is when they are expected to be answered.
+	calls     int
+	busyUntil time.Time
+	// avoidUntil is when the instance may get calls again after a failure.
+	avoidUntil time.Time
+}
+
 // callers are the instances that make advice calls. The advisor serves one call
-// at a time per instance, so each is given one at a time. Methods must be called
-// with the advice client's lock held.
+// at a time per instance. Methods must be called with the advice client's lock
+// held.
 type callers struct {
 	// addresses returns the addresses of the instances that are alive.
 	addresses func() []string
-	// calling is the set of instances with a call in progress.
-	calling map[string]bool
-	// avoidUntil is when an instance may get calls again after a failure.
-	avoidUntil map[string]time.Time
+	byAddress map[string]*caller
 }
 
 func newCallers(addresses func() []string) *callers {
 	return &callers{
-		addresses:  addresses,
-		calling:    map[string]bool{},
-		avoidUntil: map[string]time.Time{},
+		addresses: addresses,
+		byAddress: map[string]*caller{},
 	}
 }
 
-// idle returns the instances that can make a call now, and how many of them are
-// reserved for urgent calls.
-func (c *callers) idle(now time.Time) (addresses []string, reserved int) {
+// callSlots are the instances that can take a call at one time.
+type callSlots struct {
+	now time.Time
+	// horizon is the time until calls can be assigned again. An instance takes
+	// calls until it is expected to be busy for that long.
+	horizon time.Duration
+	free    []callSlot
+	// reserved is the number of free instances that are kept for urgent calls.
+	reserved int
+}
+
+// callSlot is an instance that is expected to be busy for the given time.
+type callSlot struct {
+	address string
+	busyFor time.Duration
+}
+
+// slots returns the instances that can take a call now, if calls are assigned
+// again after the horizon. An instance whose calls are overdue takes none.
+func (c *callers) slots(now time.Time, horizon time.Duration) *callSlots {
+	slots := &callSlots{
+		now:     now,
+		horizon: horizon,
+	}
 	all := c.addresses()
 	for _, address := range all {
-		if !c.calling[address] && !c.avoidUntil[address].After(now) {
-			addresses = append(addresses, address)
+		state := c.byAddress[address]
+		switch {
+		case state == nil:
+			slots.free = append(slots.free, callSlot{address: address})
+		case state.avoidUntil.After(now):
+		case state.calls == 0:
+			slots.free = append(slots.free, callSlot{address: address})
+		case state.busyUntil.After(now) && state.busyUntil.Sub(now) < horizon:
+			slots.free = append(slots.free, callSlot{
+				address: address,
+				busyFor: state.busyUntil.Sub(now),
+			})
 		}
 	}
-	sort.Strings(addresses)
+	slots.sort()
 	if len(all) > 1 {
-		reserved = (len(all) + reservedInstanceInterval - 1) / reservedInstanceInterval
+		slots.reserved = (len(all) + reservedInstanceInterval - 1) / reservedInstanceInterval
 	}
-	return addresses, reserved
+	return slots
 }
 
-// fail stops calls through the instance for a while.
+// sort puts the instance that is free first in front.
+func (s *callSlots) sort() {
+	slices.SortFunc(s.free, func(a, b callSlot) int {
+		return cmp.Or(cmp.Compare(a.busyFor, b.busyFor), cmp.Compare(a.address, b.address))
+	})
+}
+
+// isEmpty reports whether no instance can take a call.
+func (s *callSlots) isEmpty() bool {
+	return len(s.free) == 0
+}
+
+// isForUrgent reports whether only instances are left that are kept for urgent
+// calls.
+func (s *callSlots) isForUrgent() bool {
+	return len(s.free) <= s.reserved
+}
+
+// count returns how many calls of the given time the instances can take.
+func (s *callSlots) count(callTime time.Duration) int {
+	total := 0
+	for _, slot := range s.free {
+		total++
+		if callTime > 0 {
+			total += int((s.horizon - slot.busyFor - 1) / callTime)
+		}
+	}
+	return total
+}
+
+// take assigns a call to the instance that is free first, and returns the instance
+// and the expected time until the call is answered.
+func (s *callSlots) take(callTime time.Duration) (address string, until time.Duration) {
+	slot := s.free[0]
+	slot.busyFor += callTime
+	s.free = s.free[1:]
+	if slot.busyFor < s.horizon {
+		s.free = append(s.free, slot)
+		s.sort()
+	}
+	return slot.address, slot.busyFor
+}
+
+// start records that the instance makes a call that is expected to be answered
+// after the given time.
+func (c *callers) start(address string, now time.Time, until time.Duration) {
+	state := c.byAddress[address]
+	if state == nil {
+		state = &caller{}
+		c.byAddress[address] = state
+	}
+	state.calls++
+	state.busyUntil = now.Add(until)
+}
+
+// finish records that a call of the instance was answered.
+func (c *callers) finish(address string) {
+	if state := c.byAddress[address]; state != nil {
+		state.calls--
+	}
+}
+
+// fail records that a call of the instance failed, and stops calls through it for
+// a while.
 func (c *callers) fail(address string, now time.Time) {
-	c.avoidUntil[address] = now.Add(failedInstanceBackoff)
+	c.finish(address)
+	if state := c.byAddress[address]; state != nil {
+		state.avoidUntil = now.Add(failedInstanceBackoff)
+	}
 }
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -21,6 +21,9 @@
 const (
 	proposeTimeout  = 4 * time.Second
 	cleanupInterval = 5 * time.Second
+	// announcedWithin is the maximum time since an instance was last heard from for
+	// a new leader to announce itself to it. Each instance greets its peers in turn.
+	announcedWithin = 10 * time.Second
 	// minPrunedJobs is how many jobs must be past their retention before a
 	// command to remove them is proposed.
 	minPrunedJobs = 100
@@ -42,6 +45,9 @@
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
 	holds map[plan.StepKey]*plan.Hold
+	// decisionPause is the pause after the last decision. Only the decision loop
+	// uses it.
+	decisionPause time.Duration
 	// startLatency estimates the time until a start is answered.
 	startLatency *delay.Estimator
 
@@ -114,6 +120,7 @@
 		}
 		l.relays.checkLoop(l.ctx)
 	})
+	l.goroutines.Go(func() { l.scheduler.host.AnnounceLeadership(announcedWithin) })
 	l.goroutines.Go(l.decisionLoop)
 	l.goroutines.Go(l.cleanupLoop)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -33,6 +33,8 @@
 // HelloArgs requests the identity of an instance.
 type HelloArgs struct {
 	Name string `cbor:"1,keyasint"`
+	// Leads is set if the caller is the leader.
+	Leads bool `cbor:"2,keyasint,omitempty"`
 }
 
 // HelloReply holds the identity of an instance and its view of the cell.
