--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -29,9 +29,12 @@
 	// A call fails once no leader has replied for leaderTimeout and the call
 	// itself has waited for maxLeaderWait of its time, or for leaderTimeout if
 	// that is less. A new leader is mostly there by then; if not, the caller may
-	// reach it through another instance in the time that is left.
+	// reach it through another instance in the time that is left. If no peer has
+	// replied for leaderTimeout either, this instance is probably cut off, and a
+	// call waits only for cutOffWait.
 	leaderTimeout = 1500 * time.Millisecond
 	maxLeaderWait = 0.5
+	cutOffWait    = 500 * time.Millisecond
 	// retryAfter is the delay before a retry that a call reports to its caller when
 	// it fails because no leader has replied.
 	retryAfter = time.Second
@@ -46,8 +49,10 @@
 	mu          sync.Mutex
 	pingClient  *peer.Client
 	pingAddress string
-	// confirmedAt is the time of the leader's latest reply.
+	// confirmedAt is the time of the leader's latest reply, and repliedAt that
+	// of the latest reply of another peer.
 	confirmedAt time.Time
+	repliedAt   time.Time
 	// lostLeader is the address of a leader that did not answer. Peers may go on
 	// naming it until they have elected another one, so it is only taken as the
 	// leader again when it answers itself.
@@ -263,12 +268,22 @@
 		r.host.log.WithError(err).WithField("peer", address).Debug("router: peer did not answer")
 		return peerReply{address: address}
 	}
+	r.mu.Lock()
+	r.repliedAt = time.Now()
+	r.mu.Unlock()
 	return peerReply{
 		address: address,
 		hello:   &reply.Value,
 	}
 }
 
+// isCutOff reports whether no peer has replied for leaderTimeout.
+func (r *router) isCutOff() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.repliedAt) > leaderTimeout
+}
+
 // knownAddresses returns the addresses of all other instances that may know the
 // leader: the members of the group and the seeds.
 func (r *router) knownAddresses() []string {
@@ -333,7 +348,11 @@
 		}
 		wait := backoff/2 + rand.N(backoff)
 		backoff = min(2*backoff, maxBackoff)
-		noLeader := time.Since(started) > leaderWait && !h.IsLeaderReachable(leaderTimeout)
+		limit := leaderWait
+		if h.router.isCutOff() {
+			limit = min(limit, cutOffWait)
+		}
+		noLeader := time.Since(started) > limit && !h.IsLeaderReachable(leaderTimeout)
 		if noLeader || !SleepContext(ctx, wait) {
 			fault := wire.NewFault(wire.CodeUnavailable, "no leader answered in time")
 			fault.RetryAfter = retryAfter
--- a/internal/group/router_test.go
+++ b/internal/group/router_test.go
@@ -116,3 +116,25 @@
 		}
 	}
 }
+
+// An instance that neither the leader nor any peer answers is probably cut off, and a
+// caller that waits there for half of its time has too little left to be served through
+// another instance.
+func TestCallOnCutOffInstanceFailsSoon(t *testing.T) {
+	g := newTestGroup(t, 3, 1)
+	for _, m := range g.members {
+		g.start(m)
+	}
+	g.propose("first")
+	caller := g.members[3]
+	for _, m := range g.members[:3] {
+		m.stop()
+	}
+	time.Sleep(2 * leaderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	started := time.Now()
+	_, fault := CallLeader(ctx, caller.host, methodHello, &wire.HelloArgs{}, (&rpcService{host: caller.host}).Hello)
+	g.c.Assert(fault == nil, qt.IsFalse)
+	g.c.Check(time.Since(started) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+}
