--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -14,9 +14,6 @@
 	// largeTaskShare is the share of the largest target above which a task is
 	// large: no two of them fit there.
 	largeTaskShare = 0.5
-	// maxHeldFraction is the fraction of a service's targets on which room may
-	// be held at the same time, unless a single gang needs more.
-	maxHeldFraction = 1.0
 	// maxHoldFactor bounds how far ahead room is held, as a multiple of the
 	// estimated run time of the tasks it is held for.
 	maxHoldFactor = 2
@@ -88,19 +85,14 @@
 }
 
 // holdRoom holds room for the waiting tasks of the step on the targets where they
-// fit first: for all members of a gang or none, and for as many other tasks as the
-// bounds allow. It returns nil if it holds none.
+// fit first: for all members of a gang or none, and for as many other tasks as fit
+// soon enough. A target is held for one step only. It returns nil if it holds none.
 func (p *planner) holdRoom(step *pendingStep, advice *StepAdvice) *Hold {
-	service := p.input.View.ServiceOf(step.job)
 	maxAhead := time.Duration(step.spec.Estimate) * time.Millisecond * maxHoldFactor
-	maxTargets := max(1, int(maxHeldFraction*float64(len(p.byService[service])))-p.heldTargets[service])
-	if step.spec.Gang && p.heldTargets[service] == 0 {
-		maxTargets = len(p.byService[service])
-	}
 	missing := p.waitingTasks(step)
 	var chosen []fitOption
 	for _, option := range p.fitOptions(step, advice) {
-		if missing == 0 || len(chosen) == maxTargets || option.at.Sub(p.input.Now) > maxAhead {
+		if missing == 0 || option.at.Sub(p.input.Now) > maxAhead {
 			break
 		}
 		fitting := step.spec.Reservation().FitCount(option.timeline.FreeAt(option.at))
@@ -116,7 +108,6 @@
 	if step.spec.Gang {
 		startTogether(chosen)
 	}
-	p.heldTargets[service] += len(chosen)
 	return p.recordHold(step, chosen)
 }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -146,8 +146,6 @@
 	// freeCallsByQueue caches how many calls of a queue can be made.
 	adviceRequestsByQueue map[string]int
 	freeCallsByQueue      map[string]int
-	// heldTargets counts the targets with held room by service.
-	heldTargets map[string]int
 	// largestByService caches the result of largestTarget.
 	largestByService map[string]quota.Resources
 	decision         Decision
@@ -165,7 +163,6 @@
 
 		adviceRequestsByQueue: map[string]int{},
 		freeCallsByQueue:      map[string]int{},
-		heldTargets:           map[string]int{},
 		largestByService:      map[string]quota.Resources{},
 	}
 	p.decision.Holds = map[StepKey]*Hold{}
