--- a/internal/group/router_test.go
+++ b/internal/group/router_test.go
@@ -82,13 +82,16 @@
 	g.members[0].stop()
 	g.members[1].stop()
 	time.Sleep(2 * leaderTimeout)
-	go func() {
-		time.Sleep(200 * time.Millisecond)
-		g.start(g.members[0])
-	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	_, fault := CallLeader(ctx, caller.host, methodHello, &wire.HelloArgs{}, (&rpcService{host: caller.host}).Hello)
+	result := make(chan *wire.Fault, 1)
+	go func() {
+		_, fault := CallLeader(ctx, caller.host, methodHello, &wire.HelloArgs{}, (&rpcService{host: caller.host}).Hello)
+		result <- fault
+	}()
+	time.Sleep(200 * time.Millisecond)
+	g.start(g.members[0])
+	fault := <-result
 	g.c.Assert(fault == nil, qt.IsTrue, qt.Commentf("%v", fault))
 }
 
