Read the ledger with none of the leader's locks held

Cause: the periodic clean-up asked the ledger for ended jobs with the lock of the admissions, of the advice or of the rater held, and a decision takes each of these while it reads the ledger. With a command waiting to be applied the three wait for each other for good, as with the drivers before. The clean-up runs every five seconds, and is the likelier to meet the longer a decision takes. Change: the keys are copied, the ledger is asked without the lock, and the ended ones are removed.

--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,10 +91,10 @@
 // calls are assigned again, after the horizon. The queues share the time of the
 // instances; the requests of one queue are served in the order given.
 func (a *adviceClient) request(requests []plan.AdviceRequest, now time.Time, horizon time.Duration) {
+	backlog := newAdviceBacklog(requests, a.leader.scheduler.ledger.MostUrgentAdvice())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordWaits(requests, now)
-	backlog := newAdviceBacklog(requests, a.leader.scheduler.ledger.MostUrgentAdvice())
 	for _, call := range backlog.assign(&a.share, a.callers.slots(now, horizon)) {
 		a.startCall(call, now)
 	}
@@ -249,10 +250,16 @@
 
 // removeEndedJobs removes cached answers for jobs that have ended.
 func (a *adviceClient) removeEndedJobs() {
+	a.mu.Lock()
+	steps := slices.Collect(maps.Keys(a.answers))
+	a.mu.Unlock()
+	steps = slices.DeleteFunc(steps, func(key plan.StepKey) bool {
+		return a.leader.scheduler.ledger.IsLive(key.Job)
+	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for key, known := range a.answers {
-		if !known.InFlight && !a.leader.scheduler.ledger.IsLive(key.Job) {
+	for _, key := range steps {
+		if known := a.answers[key]; known != nil && !known.InFlight {
 			delete(a.answers, key)
 			delete(a.unusedAnswers, key)
 		}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -177,7 +179,10 @@
 	return result, nil
 }
 
-// cleanupLoop periodically removes old jobs, and cached data of ended jobs.
+// cleanupLoop periodically removes old jobs, and cached data of ended jobs. A
+// decision takes the locks of that data while it reads the ledger, so the ledger is
+// not read with one of them held: with a command waiting to be applied, both would
+// wait for each other for good.
 func (l *leader) cleanupLoop() {
 	for group.SleepContext(l.ctx, cleanupInterval) {
 		l.advice.removeEndedJobs()
@@ -196,11 +201,13 @@
 // removeEndedAdmissions removes the admission times of jobs that ended without a
 // placement.
 func (l *leader) removeEndedAdmissions() {
+	l.mu.Lock()
+	ids := slices.Collect(maps.Keys(l.admittedAt))
+	l.mu.Unlock()
+	ids = slices.DeleteFunc(ids, l.scheduler.ledger.IsLive)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id := range l.admittedAt {
-		if !l.scheduler.ledger.IsLive(id) {
-			delete(l.admittedAt, id)
-		}
+	for _, id := range ids {
+		delete(l.admittedAt, id)
 	}
 }
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
 const waitTimeout = 10 * time.Second
@@ -195,27 +196,75 @@
 	s.c.Check(s.scheduler.host.Replica().Status().Commit-before, qt.Equals, uint64(1))
 }
 
-// A decision looks up drivers while it reads the ledger. A driver that was created
-// meanwhile read the ledger with the leader's lock held: with a command waiting to be
-// applied, each waited for the other and the leader stood still for good.
-func TestNewDriverDoesNotBlockDecision(t *testing.T) {
-	s := newFixture(t, false, "w0")
-	l := s.scheduler.currentLeader.Load()
-	decided := make(chan struct{})
-	go s.scheduler.ledger.View(time.Now(), func(*graph.View) {
-		go s.scheduler.ledger.Apply(graph.Command{})
-		time.Sleep(20 * time.Millisecond)
-		go l.ensureDriver(graph.Target{
-			Announcement: graph.Announcement{ID: graph.TargetID{ID: "w1"}},
+// A decision takes locks of the leader while it reads the ledger. What read the ledger
+// with one of these locks held stopped the leader for good: with a command waiting to be
+// applied, which keeps new readers out, each waited for the other.
+func TestDecisionIsNotBlocked(t *testing.T) {
+	step := plan.StepKey{Job: "ended"}
+	cases := []struct {
+		name string
+		// byOther reads the ledger on another goroutine, and byDecision takes the
+		// same lock during a decision.
+		byOther    func(*leader)
+		byDecision func(*leader)
+	}{
+		{
+			name: "new driver",
+			byOther: func(l *leader) {
+				l.ensureDriver(graph.Target{
+					Announcement: graph.Announcement{ID: graph.TargetID{ID: "w1"}},
+				})
+			},
+			byDecision: func(l *leader) { l.usable(graph.TargetID{ID: "w0"}, time.Now()) },
+		},
+		{
+			name: "removal of admissions",
+			byOther: func(l *leader) {
+				l.mu.Lock()
+				l.admittedAt["ended"] = time.Now()
+				l.mu.Unlock()
+				l.removeEndedAdmissions()
+			},
+			byDecision: func(l *leader) { l.usable(graph.TargetID{ID: "w0"}, time.Now()) },
+		},
+		{
+			name: "removal of advice",
+			byOther: func(l *leader) {
+				l.advice.mu.Lock()
+				l.advice.answers[step] = &plan.StepAdvice{}
+				l.advice.mu.Unlock()
+				l.advice.removeEndedJobs()
+			},
+			byDecision: func(l *leader) { l.advice.lookup(step) },
+		},
+		{
+			name: "removal of ratings",
+			byOther: func(l *leader) {
+				l.rater.Started(step, 0, graph.TargetID{ID: "w0"}, time.Now())
+				l.rater.Forget(func(plan.StepKey) bool { return !l.scheduler.ledger.IsLive("ended") })
+			},
+			byDecision: func(l *leader) { l.rater.Speed(graph.TargetID{ID: "w0"}) },
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFixture(t, false, "w0")
+			l := s.scheduler.currentLeader.Load()
+			decided := make(chan struct{})
+			go s.scheduler.ledger.View(time.Now(), func(*graph.View) {
+				go s.scheduler.ledger.Apply(graph.Command{})
+				time.Sleep(20 * time.Millisecond)
+				go test.byOther(l)
+				time.Sleep(20 * time.Millisecond)
+				test.byDecision(l)
+				close(decided)
+			})
+			select {
+			case <-decided:
+			case <-time.After(waitTimeout):
+				t.Fatal("the decision and the other goroutine block each other")
+			}
 		})
-		time.Sleep(20 * time.Millisecond)
-		l.usable(graph.TargetID{ID: "w0"}, time.Now())
-		close(decided)
-	})
-	select {
-	case <-decided:
-	case <-time.After(waitTimeout):
-		t.Fatal("decision and new driver block each other")
 	}
 }
 
--- a/pkg/rating/rating.go
+++ b/pkg/rating/rating.go
@@ -5,6 +5,8 @@
 package rating
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -222,13 +224,16 @@
 	return now.Sub(runs.active[task].started) > time.Duration(factor*float64(longest))
 }
 
-// Forget deletes the data of finished steps.
+// Forget deletes the data of finished steps. The function may take locks that are
+// held while the rater is used, as it is not called with the rater's lock held.
 func (r *Rater[S, T]) Forget(finished func(S) bool) {
+	r.mu.Lock()
+	steps := slices.Collect(maps.Keys(r.steps))
+	r.mu.Unlock()
+	steps = slices.DeleteFunc(steps, func(step S) bool { return !finished(step) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for step := range r.steps {
-		if finished(step) {
-			delete(r.steps, step)
-		}
+	for _, step := range steps {
+		delete(r.steps, step)
 	}
 }
