Limit searches for the leader

Cause: each call that waits for a leader asks for a search, and a search that no longer waits for silent peers ends within 100 ms; at 300 machines that is thousands of Hello calls a second at each voter while there is no leader, which a new leader's announcement makes needless.

--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -21,8 +21,9 @@
 	// maxBackoff.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 200 * time.Millisecond
-	// searchInterval is the time between two searches while no leader is known.
-	searchInterval = 100 * time.Millisecond
+	// searchInterval is the least time between two searches for the leader, each
+	// of which asks all peers. A new leader announces itself.
+	searchInterval = 200 * time.Millisecond
 	// replyGrace is how long a search waits for further replies after the first
 	// one, which may come from an instance that does not know the leader.
 	replyGrace = 100 * time.Millisecond
@@ -59,6 +60,8 @@
 	lostLeader string
 	// nextPeer is the position of the peer to greet next.
 	nextPeer int
+	// searchedAt is the time of the last search.
+	searchedAt time.Time
 }
 
 func newRouter(h *Host) *router {
--- a/internal/group/router_test.go
+++ b/internal/group/router_test.go
@@ -141,3 +141,19 @@
 	g.c.Assert(fault == nil, qt.IsFalse)
 	g.c.Check(time.Since(started) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
 }
+
+// Each call that waits for a leader asks for a search of it. The calls of hundreds of
+// instances must not make the peers answer searches instead of electing a leader.
+func TestSearchesAreLimited(t *testing.T) {
+	c := qt.New(t)
+	g := newTestGroup(t, 3, 0)
+	g.start(g.members[0])
+	r := g.members[0].host.router
+	claimed := 0
+	for end := time.Now().Add(2 * searchInterval); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if r.claimSearch() {
+			claimed++
+		}
+	}
+	c.Check(claimed <= 3, qt.IsTrue, qt.Commentf("%d searches", claimed))
+}
--- a/internal/group/search.go
+++ b/internal/group/search.go
@@ -87,6 +87,9 @@
 
 // searchLeader asks the peers for the leader and the membership.
 func (r *router) searchLeader() {
+	if !r.claimSearch() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
 	defer cancel()
 	if hello := r.queryPeers(ctx); hello != nil {
@@ -94,6 +97,19 @@
 	}
 }
 
+// claimSearch returns false if the last search was less than searchInterval ago. Each
+// call that waits for a leader asks for a search, and without a limit the searches of
+// hundreds of instances keep the peers from electing one.
+func (r *router) claimSearch() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.searchedAt) < searchInterval {
+		return false
+	}
+	r.searchedAt = time.Now()
+	return true
+}
+
 // greetNextPeer sends a Hello call to the next of the other known instances, so that
 // each of them knows this instance and can announce its leadership to it.
 func (r *router) greetNextPeer() {
