Drop state and repeated work found on reading the change again

Cause: reading the whole change once more. Change, none of it to what is decided: a held target's own step is never asked for (a step is visited once a decision, and holds are recorded after its placement), so targetHold is gone; targets without accelerators are gone through once instead of twice for each step that asks; a run's progress is looked up by its key instead of by a walk over all runs of the target under its lock; an unused field and a condition that stood twice are gone. Result: tests of internal/plan and internal/push and the linter pass, their assertions as before; the bench was not played again.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -229,11 +229,17 @@
 		return rotated(targets, step.key)
 	}
 	return func(yield func(*targetState) bool) {
-		for _, withAccelerators := range []bool{false, true} {
-			for target := range rotated(targets, step.key) {
-				if target.info.Capacity.Accelerators > 0 == withAccelerators && !yield(target) {
-					return
-				}
+		var withAccelerators []*targetState
+		for target := range rotated(targets, step.key) {
+			if target.info.Capacity.Accelerators > 0 {
+				withAccelerators = append(withAccelerators, target)
+			} else if !yield(target) {
+				return
+			}
+		}
+		for _, target := range withAccelerators {
+			if !yield(target) {
+				return
 			}
 		}
 	}
--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -43,13 +43,6 @@
 	return slices.ContainsFunc(h.Targets, func(t HeldTarget) bool { return t.ID == id })
 }
 
-// targetHold is the room held on one target.
-type targetHold struct {
-	holds.Hold
-
-	step StepKey
-}
-
 // fitOption is a target on which tasks of a step fit at some time.
 type fitOption struct {
 	target   *targetState
@@ -128,12 +121,9 @@
 func (p *planner) recordHold(step *pendingStep, chosen []fitOption) *Hold {
 	hold := &Hold{}
 	for _, option := range chosen {
-		option.target.hold = &targetHold{
-			Hold: holds.Hold{
-				StartsAt: option.at,
-				Surplus:  option.timeline.FreeAt(option.at).Sub(step.spec.Reservation().Times(option.count)),
-			},
-			step: step.key,
+		option.target.hold = &holds.Hold{
+			StartsAt: option.at,
+			Surplus:  option.timeline.FreeAt(option.at).Sub(step.spec.Reservation().Times(option.count)),
 		}
 		hold.Targets = append(hold.Targets, HeldTarget{
 			ID:       option.target.info.ID.ID,
@@ -187,7 +177,7 @@
 	}
 	var releases []holds.Release
 	for ref, run := range target.info.Runs {
-		if at, ok := p.expectedEnd(target.info.ID, ref); ok {
+		if at, ok := p.expectedEnd(target.info.ID, ref, run.Run); ok {
 			releases = append(releases, holds.Release{
 				At:     at,
 				Amount: run.Reserved(),
@@ -201,7 +191,7 @@
 // expectedEnd returns when a run on the target is expected to end, or false if
 // it is not expected to end by itself. A run that is overdue is expected to take
 // as long again as it is overdue.
-func (p *planner) expectedEnd(id graph.TargetID, ref graph.TaskRef) (time.Time, bool) {
+func (p *planner) expectedEnd(id graph.TargetID, ref graph.TaskRef, run uint32) (time.Time, bool) {
 	job := p.input.View.Jobs()[ref.Job]
 	if job == nil {
 		return p.input.Now, true
@@ -210,7 +200,7 @@
 	if step.LongRunning {
 		return time.Time{}, false
 	}
-	if at, ok := p.input.ExpectedEnd(id, ref); ok {
+	if at, ok := p.input.ExpectedEnd(id, ref, run); ok {
 		if overdue := p.input.Now.Sub(at); overdue > 0 {
 			return p.input.Now.Add(overdue), true
 		}
@@ -220,9 +210,9 @@
 }
 
 // roomFor returns the part of the target's free room that the step may use
-// beside room held for other steps.
+// beside held room, which is always held for a step that comes before it.
 func (p *planner) roomFor(step *pendingStep, target *targetState) quota.Resources {
-	if target.hold == nil || target.hold.step == step.key {
+	if target.hold == nil {
 		return target.free
 	}
 	return target.hold.RoomFor(target.free, p.endIfStartedNow(step))
@@ -241,7 +231,7 @@
 func (p *planner) take(step *pendingStep, target *targetState) {
 	target.free = target.free.Sub(step.spec.Reservation())
 	target.timeline = nil
-	if target.hold != nil && target.hold.step != step.key {
+	if target.hold != nil {
 		target.hold.Use(step.spec.Reservation(), p.endIfStartedNow(step))
 	}
 }
@@ -250,7 +240,7 @@
 func (p *planner) giveBack(step *pendingStep, target *targetState) {
 	target.free = target.free.Add(step.spec.Reservation())
 	target.timeline = nil
-	if target.hold != nil && target.hold.step != step.key {
+	if target.hold != nil {
 		target.hold.Return(step.spec.Reservation(), p.endIfStartedNow(step))
 	}
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -32,13 +32,12 @@
 	if needsAdvice {
 		advice = p.input.Advice(step.key)
 	}
-	if !needsAdvice || advice != nil {
-		if p.placeTasks(step, advice) {
-			return
-		}
+	mayPlace := !needsAdvice || advice != nil
+	if mayPlace && p.placeTasks(step, advice) {
+		return
 	}
 	var hold *Hold
-	if (!needsAdvice || advice != nil) && p.needsHold(step) && p.withinClientAccountLimit(step) {
+	if mayPlace && p.needsHold(step) && p.withinClientAccountLimit(step) {
 		hold = p.holdRoom(step, advice)
 	}
 	p.decision.WaitReasons[step.key] = p.waitReason(step, advice)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -76,7 +76,7 @@
 	// can be made now.
 	FreeAdviceCalls func(callTime time.Duration) int
 	// ExpectedEnd predicts the end of a run from its progress, or returns false.
-	ExpectedEnd func(graph.TargetID, graph.TaskRef) (time.Time, bool)
+	ExpectedEnd func(id graph.TargetID, task graph.TaskRef, run uint32) (time.Time, bool)
 	// Holds has the room held by the previous decision.
 	Holds map[StepKey]*Hold
 	// Pending contains the placements that are proposed but not yet committed
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -101,7 +101,7 @@
 			ApprovalRate:    func(string) float64 { return 0.5 },
 			FreeAdviceCalls: func(time.Duration) int { return f.freeAdviceCalls() },
 			Holds:           f.holds,
-			ExpectedEnd: func(_ graph.TargetID, ref graph.TaskRef) (time.Time, bool) {
+			ExpectedEnd: func(_ graph.TargetID, ref graph.TaskRef, _ uint32) (time.Time, bool) {
 				at, known := f.expectedEnds[ref]
 				return at, known
 			},
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -22,7 +22,7 @@
 	colocation *colocation
 	timeline   *holds.Timeline
 	// hold is the room held for a step that waits, or nil.
-	hold *targetHold
+	hold *holds.Hold
 }
 
 // colocation counts the latency-sensitive services and the best-effort tasks on
--- a/internal/push/instances.go
+++ b/internal/push/instances.go
@@ -47,7 +47,6 @@
 
 // callSlots are the instances that can take a call at one time.
 type callSlots struct {
-	now time.Time
 	// horizon is the time until calls can be assigned again. An instance takes
 	// calls until it is expected to be busy for that long.
 	horizon time.Duration
@@ -65,10 +64,7 @@
 // slots returns the instances that can take a call now, if calls are assigned
 // again after the horizon. An instance whose calls are overdue takes none.
 func (c *callers) slots(now time.Time, horizon time.Duration) *callSlots {
-	slots := &callSlots{
-		now:     now,
-		horizon: horizon,
-	}
+	slots := &callSlots{horizon: horizon}
 	all := c.addresses()
 	for _, address := range all {
 		state := c.byAddress[address]
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -100,21 +100,20 @@
 	return d.leader.rater.Stalled(plan.StepKeyOf(key.task), key.task.Index, siblingStallFactor, now)
 }
 
-// expectedEnd predicts the end of the task's run on the target from its progress.
+// expectedEnd predicts the end of a run on the target from its progress.
 // It returns false if the progress does not suffice for a prediction.
-func (l *leader) expectedEnd(id graph.TargetID, ref graph.TaskRef) (time.Time, bool) {
+func (l *leader) expectedEnd(id graph.TargetID, task graph.TaskRef, run uint32) (time.Time, bool) {
 	d := l.driver(id)
 	if d == nil {
 		return time.Time{}, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key, info := range d.runs {
-		if key.task == ref {
-			return info.progress.EstimatedCompletion()
-		}
+	info := d.runs[keyOf(task, run)]
+	if info == nil {
+		return time.Time{}, false
 	}
-	return time.Time{}, false
+	return info.progress.EstimatedCompletion()
 }
 
 // startSpeculativeRuns has a second run started for each of the target's tasks
