Serve the product's metrics before those of the runtime

Seen: of each response the operators' monitoring had kept the first 4,000 bytes; all were metrics of the Go runtime, which come first by name.

Change: gauges and counters of the product come first, then its histograms, then the rest. Both programs use one handler.

--- /dev/null
+++ b/internal/meter/handler.go
@@ -0,0 +1,41 @@
+package meter
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
+)
+
+// productPrefix begins the names of the product's metrics.
+const productPrefix = "jasmineward_"
+
+// NewHandler returns a handler that serves the metrics of the gatherer, those of the
+// product before those of the runtime. A reader that keeps only the first bytes of a
+// response then has what tells most about the instance.
+func NewHandler(gatherer prometheus.Gatherer) http.Handler {
+	ordered := prometheus.GathererFunc(func() ([]*dto.MetricFamily, error) {
+		families, err := gatherer.Gather()
+		slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int {
+			return cmp.Compare(rankOf(a), rankOf(b))
+		})
+		return families, err
+	})
+	return promhttp.HandlerFor(ordered, promhttp.HandlerOpts{})
+}
+
+// rankOf returns 0 for gauges and counters of the product, 1 for its histograms,
+// which are long, and 2 for metrics of the runtime and the process.
+func rankOf(family *dto.MetricFamily) int {
+	switch {
+	case !strings.HasPrefix(family.GetName(), productPrefix):
+		return 2
+	case family.GetType() == dto.MetricType_HISTOGRAM:
+		return 1
+	}
+	return 0
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -7,7 +7,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Metrics holds the metrics of one instance in a registry of its own, so that a
@@ -97,7 +96,7 @@
 
 // Handler returns an HTTP handler that serves the metrics.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return NewHandler(m.registry)
 }
 
 func newCounter(name, help string) prometheus.Counter {
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -6,9 +6,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/meter"
 )
 
 // milliCoresPerCore converts CPU amounts to cores.
@@ -135,7 +135,7 @@
 
 // Metrics returns a handler that serves the instance's metrics.
 func (s *Scheduler) Metrics() http.Handler {
-	return promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{})
+	return meter.NewHandler(s.metrics.registry)
 }
 
 // addLedgerGauges registers gauges whose values are read from the ledger.
