Log why a voter that does not respond stays in the group

Cause sought: the logs of the incident do not tell whether the lost voter was not due for replacement, no learner had caught up, or the change failed.

Change: the leader logs members that stop and resume responding, the reason why a silent voter stays, and failed changes of the membership (before at debug level). Two gauges count the voters and those that are silent. No decision is changed. Both groups of voters use it.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -60,6 +60,7 @@
 	server       *peer.Server
 	raftServer   *peer.RaftServer
 	router       *router
+	members      *MemberWatch
 
 	mu        sync.Mutex
 	identity  Identity
@@ -91,6 +92,7 @@
 		stateMachine: machine,
 		dialer:       peer.NewDialer(traffic),
 		server:       server,
+		members:      NewMemberWatch(log),
 		helloAt:      map[string]time.Time{},
 		failed:       make(chan struct{}),
 		ctx:          ctx,
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -191,7 +191,9 @@
 		if replica := h.replica.Load(); replica != nil && replica.Status().Role == raft.RoleLeader {
 			interval = joinInterval
 			h.adjustVoters(replica)
+			continue
 		}
+		h.members.Reset()
 	}
 }
 
@@ -261,13 +263,10 @@
 			return replica.CaughtUp(h.ctx, id)
 		},
 	}
+	h.members.RecordPlan(plan)
 	next, description := plan.NextChange()
 	if description == "" {
 		return
 	}
-	if err := h.changeMembership(next); err != nil {
-		h.log.WithError(err).Debug("member: membership change failed")
-		return
-	}
-	h.log.Infof("member: %s", description)
+	h.members.RecordChange(description, h.changeMembership(next))
 }
--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -10,6 +10,19 @@
 // responsiveWithin is how recent the latest reply of a responsive member is.
 const responsiveWithin = time.Second
 
+// Obstacle is a reason why an unresponsive voter is not replaced.
+type Obstacle string
+
+// Obstacles, as they are logged.
+const (
+	// ObstacleNotDue means that the voter has not been unresponsive for long enough.
+	ObstacleNotDue Obstacle = "not-due"
+	// ObstacleNoLearner means that no responsive learner could take its place.
+	ObstacleNoLearner Obstacle = "no-learner"
+	// ObstacleLearnersBehind means that none of the responsive learners has caught up.
+	ObstacleLearnersBehind Obstacle = "learners-behind"
+)
+
 // VoterPlan computes the next change of the membership.
 type VoterPlan struct {
 	// Status is the status of the leader, which is the replica that plans.
@@ -70,6 +83,39 @@
 	return raft.Member{}, false
 }
 
+// silenceOf returns the time since the latest reply of the member. It is zero for
+// the leader itself.
+func (p VoterPlan) silenceOf(member raft.Member) time.Duration {
+	if member.ID == p.Status.ID {
+		return 0
+	}
+	return p.SinceLastReply[member.ID]
+}
+
+// Obstacle returns why a voter that does not respond stays in the group, or "" if all
+// voters respond or the next change brings a replacement nearer.
+func (p VoterPlan) Obstacle() Obstacle {
+	silent := false
+	for _, member := range p.Status.Membership.Members {
+		silent = silent || member.Voter && p.silenceOf(member) >= responsiveWithin
+	}
+	if !silent {
+		return ""
+	}
+	if _, change := p.NextChange(); change != "" {
+		return ""
+	}
+	if _, due := p.unresponsiveVoter(); !due {
+		return ObstacleNotDue
+	}
+	for _, member := range p.Status.Membership.Members {
+		if !member.Voter && p.silenceOf(member) < responsiveWithin {
+			return ObstacleLearnersBehind
+		}
+	}
+	return ObstacleNoLearner
+}
+
 // unresponsiveVoter returns a voter that has been unresponsive for the
 // ReplaceAfter time.
 func (p VoterPlan) unresponsiveVoter() (raft.Member, bool) {
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -140,17 +140,18 @@
 func (l *leader) maintainVoters() {
 	ticker := time.NewTicker(votersInterval)
 	defer ticker.Stop()
+	watch := group.NewMemberWatch(l.node.log)
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-ticker.C:
-			l.adjustVoters()
+			l.adjustVoters(watch)
 		}
 	}
 }
 
-func (l *leader) adjustVoters() {
+func (l *leader) adjustVoters(watch *group.MemberWatch) {
 	replica := l.node.replica.Load()
 	plan := group.VoterPlan{
 		Status:         replica.Status(),
@@ -161,13 +162,14 @@
 			return replica.CaughtUp(l.ctx, id)
 		},
 	}
+	watch.RecordPlan(plan)
 	next, description := plan.NextChange()
 	if description == "" {
 		return
 	}
+	var err error
 	if fault := l.changeMembership(next); fault != nil {
-		l.node.log.Debugf("member: change refused: %s", fault)
-		return
+		err = fault
 	}
-	l.node.log.Infof("member: %s", description)
+	watch.RecordChange(description, err)
 }
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -53,6 +53,10 @@
 		return nil, err
 	}
 	s.host = host
+	s.AddGauge("jasmineward_voters", "Voters of the group; zero on an instance that does not lead.",
+		func() float64 { all, _ := host.Voters(); return float64(all) })
+	s.AddGauge("jasmineward_voters_silent", "Voters that have not replied to this leader for a second.",
+		func() float64 { _, silent := host.Voters(); return float64(silent) })
 	if err := host.Server().RegisterConcurrent(rpcServiceName, &rpcService{scheduler: s}); err != nil {
 		return nil, err
 	}
