--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -288,3 +288,63 @@
 	g.c.Check(fault.RetryAfter, qt.Equals, retryAfter)
 	g.c.Check(time.Since(started) < 3*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
 }
+
+// A voter that is lost for good is replaced within its time, although the leader
+// changes again and again meanwhile: otherwise the next loss takes the quorum. Each
+// new leader would have to miss the voter for the whole time itself.
+func TestLostVoterIsReplacedAcrossLeaderChanges(t *testing.T) {
+	const (
+		replaceWithin  = 4 * time.Second
+		leaderInterval = 1200 * time.Millisecond
+	)
+	g := newTestGroup(t, 3, 1)
+	for _, m := range g.members {
+		m.cfg.Voters = 3
+		m.cfg.ReplaceVoterAfter = replaceWithin / 2
+		g.start(m)
+	}
+	g.propose("before")
+	g.eventually("a learner", func() bool {
+		leader := g.leader()
+		return leader != nil && len(leader.host.Replica().Status().Membership.Members) == 4
+	})
+	lost := g.voterBesideLeader()
+	lostID := lost.host.Replica().Status().ID
+	lost.stop()
+	lostAt := time.Now()
+	changedAt := lostAt
+	g.eventually("the lost voter is replaced", func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		if time.Since(changedAt) > leaderInterval {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			leader.host.TransferLeadership(ctx)
+			cancel()
+			changedAt = time.Now()
+			return false
+		}
+		membership := leader.host.Replica().Status().Membership
+		_, found := membership.Find(lostID)
+		return !found && len(membership.Voters()) == 3
+	})
+	g.c.Assert(time.Since(lostAt) < replaceWithin, qt.IsTrue, qt.Commentf("took %s", time.Since(lostAt)))
+}
+
+// voterBesideLeader returns a running voter other than the leader.
+func (g *testGroup) voterBesideLeader() *testMember {
+	leader := g.leader()
+	g.c.Assert(leader, qt.IsNotNil)
+	membership := leader.host.Replica().Status().Membership
+	for _, m := range g.members {
+		if m == leader || m.host == nil || m.host.Replica() == nil {
+			continue
+		}
+		if member, ok := membership.Find(m.host.Replica().Status().ID); ok && member.Voter {
+			return m
+		}
+	}
+	g.c.Fatal("no voter beside the leader")
+	return nil
+}
