Count the silence of a member across changes of the leader

Cause: the time since a member's last reply was the leader's own observation and began with its term. Leaders that change more often than a voter takes to be replaced never replace it.

Change: an append names the members that have been silent for an election timeout, and for how long; a follower that becomes the leader goes on from there, once it has missed the member itself for two election timeouts. A leader that steps down keeps what it saw. The field is new and left out while all reply; older replicas ignore it.

--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -150,6 +150,9 @@
 	membershipIndex uint64
 	progress        map[ID]*progress
 	votes           map[ID]bool
+	// lastHeard holds when members were last heard from, as far as a replica that
+	// does not lead knows: the leader itself, and members that do not reply to it.
+	lastHeard map[ID]time.Duration
 
 	lastLeaderContact time.Duration
 	heardFromLeader   bool
@@ -441,7 +444,7 @@
 			pr = &progress{
 				next:          c.log.lastIndex() + 1,
 				probing:       true,
-				lastReplyAt:   c.now,
+				lastReplyAt:   c.lastHeardFrom(member.ID),
 				ackedSendTime: neverAcked,
 			}
 		}
@@ -456,6 +459,9 @@
 		c.term = term
 		c.vote = 0
 	}
+	if c.role == RoleLeader {
+		c.keepLastReplies()
+	}
 	c.role = RoleFollower
 	c.leader = 0
 	c.transferee = 0
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -129,6 +129,7 @@
 	c.leaseRevoked = false
 	c.progress = nil
 	c.refreshMembership()
+	c.lastHeard = nil
 	c.appendEntry(EntryEmpty, nil)
 	c.heartbeat()
 }
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -11,6 +11,7 @@
 		return
 	}
 	c.recordLeaderContact(m.From)
+	c.recordSilence(m)
 	if m.Index < c.commit {
 		c.replyAppend(m, c.commit)
 		return
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -153,6 +153,7 @@
 		LogTerm: prevTerm,
 		Commit:  c.commit,
 		SentAt:  c.now,
+		Silent:  c.silentMembers(),
 	}
 	if withEntries {
 		m.Entries = c.log.slice(prev+1, c.log.lastIndex(), c.cfg.MaxBatchBytes)
@@ -348,18 +349,6 @@
 	c.pendingReads = pending
 }
 
-// SinceLastReply returns the time since the last reply of each other member to
-// this leader.
-func (c *Core) SinceLastReply() map[ID]time.Duration {
-	since := make(map[ID]time.Duration, len(c.progress))
-	for id, pr := range c.progress {
-		if id != c.cfg.ID {
-			since[id] = c.now - pr.lastReplyAt
-		}
-	}
-	return since
-}
-
 // CaughtUp reports whether the member has synced all committed entries.
 func (c *Core) CaughtUp(id ID) bool {
 	pr := c.progress[id]
--- a/pkg/raft/message.go
+++ b/pkg/raft/message.go
@@ -141,6 +141,15 @@
 	// State is the content of the snapshot. Only a Replica and its transport use
 	// it.
 	State []byte `cbor:"14,keyasint,omitempty"`
+	// Silent is set in an append: the members that do not reply to the leader. A
+	// follower that becomes the leader goes on counting from there.
+	Silent []Silence `cbor:"15,keyasint,omitempty"`
+}
+
+// Silence tells how long a member has not replied to the leader.
+type Silence struct {
+	ID  ID            `cbor:"1,keyasint"`
+	For time.Duration `cbor:"2,keyasint"`
 }
 
 // Role is the role of a replica in its term.
--- /dev/null
+++ b/pkg/raft/silence.go
@@ -0,0 +1,67 @@
+package raft
+
+import "time"
+
+// ownObservationTimeouts is how many election timeouts a new leader waits for the
+// replies of members itself before it counts the silence that the leader before it
+// has seen.
+const ownObservationTimeouts = 2
+
+// SinceLastReply returns the time since the last reply of each other member. It goes
+// on counting across changes of the leader, as far as the leaders told each other.
+func (c *Core) SinceLastReply() map[ID]time.Duration {
+	since := make(map[ID]time.Duration, len(c.progress))
+	leading := c.now - c.leaderSince
+	for id, pr := range c.progress {
+		if id == c.cfg.ID {
+			continue
+		}
+		since[id] = c.now - pr.lastReplyAt
+		if leading < ownObservationTimeouts*c.cfg.ElectionTimeout {
+			since[id] = min(since[id], leading)
+		}
+	}
+	return since
+}
+
+// silentMembers returns the members that have not replied for an election timeout.
+func (c *Core) silentMembers() []Silence {
+	var silent []Silence
+	for _, member := range c.membership.Members {
+		pr := c.progress[member.ID]
+		if member.ID == c.cfg.ID || pr == nil || c.now-pr.lastReplyAt < c.cfg.ElectionTimeout {
+			continue
+		}
+		silent = append(silent, Silence{
+			ID:  member.ID,
+			For: c.now - pr.lastReplyAt,
+		})
+	}
+	return silent
+}
+
+// recordSilence records what the leader says of the members in an append.
+func (c *Core) recordSilence(m Message) {
+	c.lastHeard = map[ID]time.Duration{m.From: c.now}
+	for _, silence := range m.Silent {
+		c.lastHeard[silence.ID] = c.now - silence.For
+	}
+}
+
+// keepLastReplies keeps the times of the last replies when the leader steps down, for
+// the case that it is elected again before it hears from another leader.
+func (c *Core) keepLastReplies() {
+	c.lastHeard = make(map[ID]time.Duration, len(c.progress))
+	for id, pr := range c.progress {
+		c.lastHeard[id] = pr.lastReplyAt
+	}
+}
+
+// lastHeardFrom returns when the member was last heard from. A member that is not known
+// to be silent counts as heard from now.
+func (c *Core) lastHeardFrom(id ID) time.Duration {
+	if at, ok := c.lastHeard[id]; ok {
+		return min(at, c.now)
+	}
+	return c.now
+}
--- /dev/null
+++ b/pkg/raft/silence_test.go
@@ -0,0 +1,123 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// electCore lets time pass until the core leads, with the votes of replica 2, and
+// returns the time. Replica 3 never replies.
+func electCore(c *qt.C, core *Core, now time.Duration) time.Duration {
+	for end := now + 10*testElectionTimeout; core.role != RoleLeader && now < end; now += time.Millisecond {
+		core.Tick(now)
+		answerAsReplica2(core, now)
+	}
+	c.Assert(core.role, qt.Equals, RoleLeader)
+	return now
+}
+
+// answerAsReplica2 answers all messages of the core to replica 2.
+func answerAsReplica2(core *Core, now time.Duration) {
+	ready := core.Ready()
+	core.Advance(ready, now)
+	for _, m := range append(ready.MessagesBeforeSync, ready.MessagesAfterSync...) {
+		if m.To != 2 || (m.Kind != MessageAppend && m.Kind != MessagePreVote && m.Kind != MessageVote) {
+			continue
+		}
+		core.Step(Message{
+			// The kind of a reply follows that of its request.
+			Kind:   m.Kind + 1,
+			From:   2,
+			To:     1,
+			Term:   m.Term,
+			Index:  m.Index + uint64(len(m.Entries)),
+			SentAt: m.SentAt,
+		}, now)
+	}
+}
+
+// leadFor lets the core lead for the duration and returns the time.
+func leadFor(core *Core, now, duration time.Duration) time.Duration {
+	for end := now + duration; now < end; now += time.Millisecond {
+		core.Tick(now)
+		answerAsReplica2(core, now)
+	}
+	return now
+}
+
+// A member that is lost for good would never be replaced if each new leader counted
+// its silence from its own start, and leaders changed often enough. So a new leader
+// goes on counting from what the leader before it has told.
+func TestSilenceIsCountedAcrossLeaders(t *testing.T) {
+	c := qt.New(t)
+	const silence = 50 * testElectionTimeout
+	core := newThreeVoterCore()
+	now := time.Millisecond
+	core.Step(Message{
+		Kind:    MessageAppend,
+		From:    2,
+		To:      1,
+		Term:    2,
+		Index:   1,
+		LogTerm: 1,
+		Silent: []Silence{
+			{
+				ID:  3,
+				For: silence,
+			},
+		},
+	}, now)
+	now = electCore(c, core, now)
+
+	// The member may reply to this leader, so it is not silent at once.
+	c.Check(core.SinceLastReply()[3] < testElectionTimeout, qt.IsTrue)
+	now = leadFor(core, now, ownObservationTimeouts*testElectionTimeout)
+	c.Check(core.SinceLastReply()[3] > silence, qt.IsTrue, qt.Commentf("%v", core.SinceLastReply()))
+	c.Check(core.SinceLastReply()[2] < testElectionTimeout, qt.IsTrue)
+
+	// This leader tells its followers in turn.
+	told := time.Duration(0)
+	for _, m := range core.silentMembers() {
+		if m.ID == 3 {
+			told = m.For
+		}
+	}
+	c.Check(told > silence, qt.IsTrue)
+
+	// A leader that steps down and is elected again counts on, too.
+	core.becomeFollower(core.term + 1)
+	now = electCore(c, core, now)
+	leadFor(core, now, ownObservationTimeouts*testElectionTimeout)
+	c.Check(core.SinceLastReply()[3] > silence, qt.IsTrue)
+}
+
+// A member that was silent before and replies to the new leader keeps its place.
+func TestReplyEndsSilenceTakenOver(t *testing.T) {
+	c := qt.New(t)
+	core := newThreeVoterCore()
+	now := time.Millisecond
+	core.Step(Message{
+		Kind:    MessageAppend,
+		From:    3,
+		To:      1,
+		Term:    2,
+		Index:   1,
+		LogTerm: 1,
+		Silent: []Silence{
+			{
+				ID:  2,
+				For: time.Minute,
+			},
+		},
+	}, now)
+	now = electCore(c, core, now)
+	for range 5 {
+		now = leadFor(core, now, testElectionTimeout)
+		c.Check(core.SinceLastReply()[2] < testElectionTimeout, qt.IsTrue)
+	}
+	// The old leader was last heard from when it sent its message, at 1 ms. The core's
+	// time is that of the last tick.
+	c.Check(core.SinceLastReply()[3], qt.Equals, now-2*time.Millisecond)
+}
