Let a new leader look at the voters at once

Cause: one loop kept an instance's own entry in the membership and, on the leader, looked at the voters. While the instance did not lead it slept for two seconds, so a new leader looked that late, and one that led for less never.

Change: two loops. The one for the voters looks every 300 ms and does nothing on an instance that does not lead.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -126,6 +126,7 @@
 	h.wg.Go(h.router.run)
 	if h.cfg.DataFolder != "" {
 		h.wg.Go(h.maintainMembership)
+		h.wg.Go(h.maintainVoters)
 	}
 	return nil
 }
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -19,9 +19,11 @@
 	methodJoin  = serviceName + ".Join"
 
 	// joinInterval is the pause between checks of the membership until the instance
-	// has joined, and while it is the leader. joinedInterval is the pause otherwise.
+	// has joined, and joinedInterval the pause after that.
 	joinInterval   = 300 * time.Millisecond
 	joinedInterval = 2 * time.Second
+	// votersInterval is the pause between looks of the leader at the voters.
+	votersInterval = 300 * time.Millisecond
 	// changeTimeout bounds one membership change.
 	changeTimeout = 5 * time.Second
 	// joinTimeout bounds one attempt to join the group.
@@ -173,9 +175,8 @@
 	return h.replica.Load().ChangeMembership(ctx, next)
 }
 
-// maintainMembership starts a replica if the data folder has none, keeps the
-// instance's entry in the membership up to date and, while the instance is the
-// leader, adjusts the voters.
+// maintainMembership starts a replica if the data folder has none, and keeps the
+// instance's entry in the membership up to date.
 func (h *Host) maintainMembership() {
 	interval := joinInterval
 	for SleepContext(h.ctx, interval) {
@@ -188,8 +189,13 @@
 		if joined {
 			interval = joinedInterval
 		}
+	}
+}
+
+// maintainVoters adjusts the voters while the instance is the leader.
+func (h *Host) maintainVoters() {
+	for SleepContext(h.ctx, votersInterval) {
 		if replica := h.replica.Load(); replica != nil && replica.Status().Role == raft.RoleLeader {
-			interval = joinInterval
 			h.adjustVoters(replica)
 			continue
 		}
