Promote a learner that keeps up under a steady load

A learner was promoted only if it had synced the very last committed entry when the leader looked, twice a change. Under load the newest entry is always on its way to it.

Change: a member has caught up if it has all that was committed a heartbeat interval ago and the leader's first entry. The quorum of the new membership still has to hold every entry up to the change before it counts.

--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -34,7 +34,7 @@
 	// ReplaceAfter is how long a voter may be unresponsive before a learner
 	// replaces it.
 	ReplaceAfter time.Duration
-	// CaughtUp reports whether the member has synced all committed entries.
+	// CaughtUp reports whether the member keeps up with the log.
 	CaughtUp func(raft.ID) bool
 }
 
--- /dev/null
+++ b/pkg/raft/catchup_test.go
@@ -0,0 +1,110 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// delayedReply is a reply that arrives at a later time.
+type delayedReply struct {
+	message Message
+	at      time.Duration
+}
+
+// lagTest drives a leader with voters 1 and 2 and learner 3. A command is proposed every
+// millisecond. Voter 2 replies at once, and learner 3 after a delay.
+type lagTest struct {
+	core    *Core
+	now     time.Duration
+	lag     time.Duration
+	replies []delayedReply
+}
+
+func newLagTest(c *qt.C, lag time.Duration) *lagTest {
+	l := &lagTest{
+		core: newThreeVoterCore(),
+		now:  time.Millisecond,
+		lag:  lag,
+	}
+	l.now = electCore(c, l.core, l.now)
+	demoted, _ := l.core.membership.Find(3)
+	demoted.Voter = false
+	l.runFor(testElectionTimeout)
+	_, _, err := l.core.ProposeMembership(l.core.membership.With(demoted))
+	c.Assert(err, qt.IsNil)
+	l.runFor(testElectionTimeout)
+	return l
+}
+
+func (l *lagTest) runFor(duration time.Duration) {
+	for end := l.now + duration; l.now < end; l.now += time.Millisecond {
+		l.core.Tick(l.now)
+		if _, _, err := l.core.Propose([]byte("x")); err == nil {
+			l.core.Flush()
+		}
+		l.exchange()
+	}
+}
+
+// exchange sends what the core has to send, and delivers the replies that are due.
+func (l *lagTest) exchange() {
+	ready := l.core.Ready()
+	l.core.Advance(ready, l.now)
+	for _, m := range append(ready.MessagesBeforeSync, ready.MessagesAfterSync...) {
+		if m.Kind != MessageAppend {
+			continue
+		}
+		delay := time.Duration(0)
+		if m.To == 3 {
+			delay = l.lag
+		}
+		l.replies = append(l.replies, delayedReply{
+			message: Message{
+				Kind:   MessageAppendReply,
+				From:   m.To,
+				To:     1,
+				Term:   m.Term,
+				Index:  m.Index + uint64(len(m.Entries)),
+				SentAt: m.SentAt,
+			},
+			at: l.now + delay,
+		})
+	}
+	later := l.replies[:0]
+	for _, reply := range l.replies {
+		if reply.at > l.now {
+			later = append(later, reply)
+			continue
+		}
+		l.core.Step(reply.message, l.now)
+	}
+	l.replies = later
+}
+
+// A learner that keeps up with a steady stream of commands never has the entry that was
+// committed last at the moment of a look. It must be promoted all the same: otherwise a
+// lost voter is not replaced while there is load.
+func TestLearnerIsPromotedUnderSteadyLoad(t *testing.T) {
+	c := qt.New(t)
+	l := newLagTest(c, 8*time.Millisecond)
+	behind := l.core.progress[3].match < l.core.commit
+	c.Assert(behind, qt.IsTrue)
+	promoted, _ := l.core.membership.Find(3)
+	promoted.Voter = true
+	c.Assert(l.core.CaughtUp(3), qt.IsTrue)
+	_, _, err := l.core.ProposeMembership(l.core.membership.With(promoted))
+	c.Assert(err, qt.IsNil)
+}
+
+// A learner that is far behind must not become a voter: commits would wait for it.
+func TestLearnerFarBehindIsNotPromoted(t *testing.T) {
+	c := qt.New(t)
+	l := newLagTest(c, testElectionTimeout)
+	promoted, _ := l.core.membership.Find(3)
+	promoted.Voter = true
+	c.Assert(l.core.CaughtUp(3), qt.IsFalse)
+	_, _, err := l.core.ProposeMembership(l.core.membership.With(promoted))
+	c.Assert(err, qt.ErrorIs, ErrMembershipChange)
+}
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -159,6 +159,7 @@
 	electionDeadline  time.Duration
 	nextHeartbeat     time.Duration
 	leaderSince       time.Duration
+	marks             commitMarks
 	transferee        ID
 	transferDeadline  time.Duration
 	leaseRevoked      bool
@@ -324,6 +325,7 @@
 }
 
 func (c *Core) tickLeader() {
+	c.markCommit()
 	if c.now-max(c.quorumAckTime(), c.leaderSince) > c.cfg.ElectionTimeout {
 		c.becomeFollower(c.term)
 		return
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -130,7 +130,12 @@
 	c.progress = nil
 	c.refreshMembership()
 	c.lastHeard = nil
-	c.appendEntry(EntryEmpty, nil)
+	first := c.appendEntry(EntryEmpty, nil)
+	c.marks = commitMarks{
+		latest:  first,
+		settled: first,
+		at:      c.now,
+	}
 	c.heartbeat()
 }
 
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -63,8 +63,7 @@
 			continue
 		}
 		changes++
-		pr := c.progress[id]
-		if pr == nil || pr.match < c.commit {
+		if !c.CaughtUp(id) {
 			return false
 		}
 	}
@@ -349,12 +348,6 @@
 	c.pendingReads = pending
 }
 
-// CaughtUp reports whether the member has synced all committed entries.
-func (c *Core) CaughtUp(id ID) bool {
-	pr := c.progress[id]
-	return pr != nil && pr.match >= c.commit
-}
-
 func (c *Core) sendBeforeSync(m Message) {
 	m.From = c.cfg.ID
 	c.beforeSync = append(c.beforeSync, m)
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -365,8 +365,8 @@
 	return query(ctx, r, func() map[ID]time.Duration { return r.core.SinceLastReply() })
 }
 
-// CaughtUp reports whether the member has synced all committed entries. It is only
-// meaningful on the leader.
+// CaughtUp reports whether the member keeps up with the log (see Core.CaughtUp). It is
+// only meaningful on the leader.
 func (r *Replica) CaughtUp(ctx context.Context, id ID) bool {
 	return query(ctx, r, func() bool { return r.core.CaughtUp(id) })
 }
