Let a voter that was replaced while away join again

A voter that was away for longer than the time after which it is replaced (suspended, cut off) never became a member again: no learner, so the next loss finds no replacement.

Cause: an instance took its own log's word on whether it is a member. The entry that removes a member is sent to the members that remain.

Change: it asks the membership that the leader tells with each ping (the leader itself its log), and looks every second.

--- a/internal/fake/failure_test.go
+++ b/internal/fake/failure_test.go
@@ -304,6 +304,38 @@
 	load.stopAndCheck("succeeded")
 }
 
+// TestReplacedVoterReturns stops a voter until a spare has replaced it. Its disk is
+// kept, and its log still lists it as a voter when it returns; it must become a member
+// again all the same.
+func TestReplacedVoterReturns(t *testing.T) {
+	f := newFixture(t, fake.CellConfig{
+		Voters: 3,
+		Spares: 1,
+	}, 0)
+	var victim *fake.Instance
+	for _, instance := range f.cell.Instances[:3] {
+		if !instance.Leading() {
+			victim = instance
+		}
+	}
+	isMember := func() bool {
+		leader := f.cell.Leader()
+		if leader == nil {
+			return true
+		}
+		for _, member := range leader.Daemon.Node().Membership().Members {
+			if member.Name == victim.Settings.Name {
+				return true
+			}
+		}
+		return false
+	}
+	victim.Kill()
+	f.eventually("the voter to be replaced", func() bool { return !isMember() })
+	f.Assert(victim.Start(false), qt.IsNil)
+	f.eventually("the voter to be a member again", isMember)
+}
+
 // TestRestartAfterManyNotes restarts a voter and a diskless instance that missed
 // 500 notes. Both must reach the last note.
 func TestRestartAfterManyNotes(t *testing.T) {
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -332,6 +332,46 @@
 	g.c.Assert(time.Since(lostAt) < replaceWithin, qt.IsTrue, qt.Commentf("took %s", time.Since(lostAt)))
 }
 
+// A voter that was only away for longer than the time after which it is replaced has to
+// join again when it returns. Its own log still lists it: nobody sends the entry that
+// removed it to a replica that is no longer a member. Without it the group has no
+// learner left for the next loss.
+func TestReplacedVoterJoinsAgain(t *testing.T) {
+	g := newTestGroup(t, 3, 1)
+	for _, m := range g.members {
+		m.cfg.Voters = 3
+		m.cfg.ReplaceVoterAfter = time.Second
+		g.start(m)
+	}
+	g.propose("before")
+	g.eventually("a learner", func() bool {
+		leader := g.leader()
+		return leader != nil && len(leader.host.Replica().Status().Membership.Members) == 4
+	})
+	away := g.voterBesideLeader()
+	id := away.host.Replica().Status().ID
+	away.stop()
+	g.eventually("the voter is replaced", func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		_, found := leader.host.Replica().Status().Membership.Find(id)
+		return !found
+	})
+	g.propose("meanwhile")
+	g.start(away)
+	g.eventually("the replaced voter is a learner", func() bool {
+		leader := g.leader()
+		if leader == nil {
+			return false
+		}
+		member, found := leader.host.Replica().Status().Membership.Find(id)
+		return found && !member.Voter
+	})
+	g.eventually("it has applied the entries it missed", func() bool { return away.words.has("meanwhile") })
+}
+
 // voterBesideLeader returns a running voter other than the leader.
 func (g *testGroup) voterBesideLeader() *testMember {
 	leader := g.leader()
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -21,7 +21,7 @@
 	// joinInterval is the pause between checks of the membership until the instance
 	// has joined, and joinedInterval the pause after that.
 	joinInterval   = 300 * time.Millisecond
-	joinedInterval = 2 * time.Second
+	joinedInterval = time.Second
 	// votersInterval is the pause between looks of the leader at the voters.
 	votersInterval = 300 * time.Millisecond
 	// changeTimeout bounds one membership change.
@@ -203,7 +203,7 @@
 	}
 }
 
-// ensureJoined reports whether the membership contains this replica with its
+// ensureJoined reports whether the leader's membership contains this replica with its
 // current name, address and failure domain. If not, it sends a Join call to the
 // leader.
 func (h *Host) ensureJoined() (bool, error) {
@@ -216,7 +216,7 @@
 	}
 	status := h.replica.Load().Status()
 	self := h.selfMember(status.ID)
-	if current, ok := status.Membership.Find(status.ID); ok {
+	if current, ok := h.groupMembership(status).Find(status.ID); ok {
 		self.Voter = current.Voter
 		if current == self {
 			return true, nil
@@ -232,6 +232,16 @@
 	return false, nil
 }
 
+// groupMembership returns the membership that the leader has last told. The log of this
+// replica does not tell whether it is a member: the entry that removes a member is not
+// sent to it.
+func (h *Host) groupMembership(status raft.Status) raft.Membership {
+	if status.Role == raft.RoleLeader {
+		return status.Membership
+	}
+	return h.router.Membership()
+}
+
 // selfMember returns the membership entry of this instance.
 func (h *Host) selfMember(id raft.ID) raft.Member {
 	return raft.Member{
