Refuse a membership change that was made from an older membership

Join and the leader's look at the voters each propose a whole membership, made from what they read some milliseconds before. The second of two was accepted and dropped the learner that the first had added, so that a successor was no member.

Cause: a proposal was checked for the number of voters it changes only.

Change: it may add, remove or change one member.

--- a/pkg/raft/catchup_test.go
+++ b/pkg/raft/catchup_test.go
@@ -108,3 +108,21 @@
 	_, _, err := l.core.ProposeMembership(l.core.membership.With(promoted))
 	c.Assert(err, qt.ErrorIs, ErrMembershipChange)
 }
+
+// Two changes that are made from one look at the membership must not undo each other:
+// the second would drop the learner that the first has added, which then never learns
+// that it is no member.
+func TestMembershipChangeFromOldLookIsRefused(t *testing.T) {
+	c := qt.New(t)
+	l := newLagTest(c, 0)
+	look := l.core.membership
+	_, _, err := l.core.ProposeMembership(look.With(Member{ID: 4}))
+	c.Assert(err, qt.IsNil)
+	l.runFor(testElectionTimeout)
+	_, _, err = l.core.ProposeMembership(look.Without(3))
+	c.Assert(err, qt.ErrorIs, ErrMembershipChange)
+	_, found := l.core.membership.Find(4)
+	c.Assert(found, qt.IsTrue)
+	_, _, err = l.core.ProposeMembership(l.core.membership.Without(3))
+	c.Assert(err, qt.IsNil)
+}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -16,8 +16,8 @@
 	return index, c.term, nil
 }
 
-// ProposeMembership appends a membership change to the leader's log. At most
-// one voter may be added or removed, a new voter must be a learner that has
+// ProposeMembership appends a membership change to the leader's log. At most one
+// member may be added, removed or changed, a new voter must be a learner that has
 // caught up, and the previous change must be committed; otherwise
 // ProposeMembership returns ErrMembershipChange. It also fails with the errors
 // of Propose.
@@ -48,27 +48,26 @@
 	return nil
 }
 
-// membershipChangeAllowed reports whether the membership may be replaced by next.
+// membershipChangeAllowed reports whether the membership may be replaced by next. As
+// next may differ in one member only, a change that was made from an older membership
+// can't undo the one before it.
 func (c *Core) membershipChangeAllowed(next Membership) bool {
-	if c.membershipIndex > c.commit || !c.committedInTerm() {
-		return false
-	}
-	before, after := c.membership.Voters(), next.Voters()
-	if len(after) == 0 {
+	if c.membershipIndex > c.commit || !c.committedInTerm() || len(next.Voters()) == 0 {
 		return false
 	}
 	changes := 0
-	for _, id := range after {
-		if slices.Contains(before, id) {
+	for _, member := range next.Members {
+		before, ok := c.membership.Find(member.ID)
+		if ok && before == member {
 			continue
 		}
 		changes++
-		if !c.CaughtUp(id) {
+		if member.Voter && !before.Voter && !c.CaughtUp(member.ID) {
 			return false
 		}
 	}
-	for _, id := range before {
-		if !slices.Contains(after, id) {
+	for _, member := range c.membership.Members {
+		if _, ok := next.Find(member.ID); !ok {
 			changes++
 		}
 	}
