--- a/pkg/raft/catchup_test.go
+++ b/pkg/raft/catchup_test.go
@@ -126,3 +126,58 @@
 	_, _, err = l.core.ProposeMembership(l.core.membership.Without(3))
 	c.Assert(err, qt.IsNil)
 }
+
+// A new replica may be killed while it installs the snapshot that the leader has sent. It
+// is sent another one as soon as that shows: until then it can't replace a lost voter.
+func TestSnapshotIsSentAgainAfterReceiverRestarts(t *testing.T) {
+	c := qt.New(t)
+	core := newThreeVoterCore()
+	now := electCore(c, core, time.Millisecond)
+	snapshots := 0
+	// lead lets time pass, in which replica 2 accepts all appends and replica 3, whose
+	// log is empty, rejects them.
+	lead := func(duration time.Duration) {
+		for end := now + duration; now < end; now += time.Millisecond {
+			core.Tick(now)
+			_, _, err := core.Propose([]byte("x"))
+			c.Assert(err, qt.IsNil)
+			core.Flush()
+			ready := core.Ready()
+			core.Advance(ready, now)
+			for _, m := range append(ready.MessagesBeforeSync, ready.MessagesAfterSync...) {
+				if m.Kind == MessageSnapshot {
+					snapshots++
+				}
+				if m.Kind != MessageAppend {
+					continue
+				}
+				reply := Message{
+					Kind:   MessageAppendReply,
+					From:   m.To,
+					To:     1,
+					Term:   m.Term,
+					Index:  m.Index + uint64(len(m.Entries)),
+					SentAt: m.SentAt,
+				}
+				if m.To == 3 {
+					reply.Index = m.Index
+					reply.Reject = true
+				}
+				core.Step(reply, now)
+			}
+		}
+	}
+	lead(testElectionTimeout)
+	meta, ok := core.SnapshotMetaAt(core.applied)
+	c.Assert(ok, qt.IsTrue)
+	core.Compact(meta, 0)
+	lead(testElectionTimeout)
+	c.Assert(snapshots, qt.Equals, 1)
+
+	// Rejections tell nothing while the snapshot is on its way.
+	lead(10 * testElectionTimeout)
+	c.Assert(snapshots, qt.Equals, 1)
+	core.SnapshotDelivered(3)
+	lead(testElectionTimeout)
+	c.Assert(snapshots >= 2, qt.IsTrue, qt.Commentf("%d snapshots", snapshots))
+}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -168,6 +168,7 @@
 	meta := c.snapshot
 	pr.pendingSnapshot = meta.Index
 	pr.snapshotSentAt = c.now
+	pr.snapshotDelivered = false
 	c.sendBeforeSync(Message{
 		Kind:     MessageSnapshot,
 		To:       to,
@@ -196,6 +197,16 @@
 	c.sendAppend(to, pr, pr.next-1, false)
 }
 
+// SnapshotDelivered records that the snapshot sent to the replica has arrived there. The
+// replica installs it before it handles later messages, so if it rejects one of these
+// it has restarted without the snapshot.
+func (c *Core) SnapshotDelivered(to ID) {
+	if pr := c.progress[to]; pr != nil && pr.pendingSnapshot != 0 {
+		pr.snapshotDelivered = true
+		pr.snapshotDeliveredAt = c.now
+	}
+}
+
 // SnapshotFailed records that the snapshot sent to the replica could not be
 // delivered.
 func (c *Core) SnapshotFailed(to ID) {
@@ -238,6 +249,9 @@
 }
 
 func (c *Core) onRejected(m Message, pr *progress) {
+	if pr.snapshotDelivered && m.SentAt > pr.snapshotDeliveredAt {
+		c.SnapshotFailed(m.From)
+	}
 	if m.Index <= pr.match || pr.pendingSnapshot != 0 {
 		return
 	}
