Demote no voter before the leader knows which of them respond

The next leader counts all as responding and demotes the voter that was just promoted.

Cause: the absence of a reply told nothing in a leader's first moments.

Removal of a silent voter goes on as before.

--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -194,12 +194,18 @@
 
 // maintainVoters adjusts the voters while the instance is the leader.
 func (h *Host) maintainVoters() {
+	var leadingSince time.Time
 	for SleepContext(h.ctx, votersInterval) {
-		if replica := h.replica.Load(); replica != nil && replica.Status().Role == raft.RoleLeader {
-			h.adjustVoters(replica)
+		replica := h.replica.Load()
+		if replica == nil || replica.Status().Role != raft.RoleLeader {
+			leadingSince = time.Time{}
+			h.members.Reset()
 			continue
 		}
-		h.members.Reset()
+		if leadingSince.IsZero() {
+			leadingSince = time.Now()
+		}
+		h.adjustVoters(replica, time.Since(leadingSince))
 	}
 }
 
@@ -268,13 +274,14 @@
 }
 
 // adjustVoters makes the next change that moves the voters towards the
-// configuration, if one is needed.
-func (h *Host) adjustVoters(replica *raft.Replica) {
+// configuration, if one is needed. The instance has led for the given time.
+func (h *Host) adjustVoters(replica *raft.Replica, leading time.Duration) {
 	plan := VoterPlan{
 		Status:         replica.Status(),
 		SinceLastReply: replica.SinceLastReply(h.ctx),
 		VoterCount:     h.cfg.Voters,
 		ReplaceAfter:   h.cfg.ReplaceVoterAfter,
+		Leading:        leading,
 		CaughtUp: func(id raft.ID) bool {
 			return replica.CaughtUp(h.ctx, id)
 		},
--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -34,6 +34,9 @@
 	// ReplaceAfter is how long a voter may be unresponsive before a learner
 	// replaces it.
 	ReplaceAfter time.Duration
+	// Leading is how long the replica has planned as the leader. A new leader does not
+	// know yet which voters respond, so it demotes none.
+	Leading time.Duration
 	// CaughtUp reports whether the member keeps up with the log.
 	CaughtUp func(raft.ID) bool
 }
@@ -54,7 +57,7 @@
 		return p.promote(learner)
 	case voters > p.VoterCount && hasUnresponsive:
 		return p.Status.Membership.Without(unresponsive.ID), "removed unresponsive voter " + unresponsive.Name
-	case voters > p.VoterCount:
+	case voters > p.VoterCount && p.Leading >= responsiveWithin:
 		return p.demoteVoter()
 	case voters == p.VoterCount && hasLearner && p.improvesSpread(learner):
 		return p.promote(learner)
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -147,23 +147,25 @@
 	ticker := time.NewTicker(votersInterval)
 	defer ticker.Stop()
 	watch := group.NewMemberWatch(l.node.log)
+	leadingSince := time.Now()
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-ticker.C:
-			l.adjustVoters(watch)
+			l.adjustVoters(watch, time.Since(leadingSince))
 		}
 	}
 }
 
-func (l *leader) adjustVoters(watch *group.MemberWatch) {
+func (l *leader) adjustVoters(watch *group.MemberWatch, leading time.Duration) {
 	replica := l.node.replica.Load()
 	plan := group.VoterPlan{
 		Status:         replica.Status(),
 		SinceLastReply: replica.SinceLastReply(l.ctx),
 		VoterCount:     l.node.cfg.Voters,
 		ReplaceAfter:   l.node.cfg.Timing.ReplaceVoterAfter,
+		Leading:        leading,
 		CaughtUp: func(id raft.ID) bool {
 			return replica.CaughtUp(l.ctx, id)
 		},
