Remove learners that are lost for good

Cause: only voters and replicas whose instance has come back under the same name are ever removed; a successor has another name.

Change: a learner that has not replied for a minute is removed.

Measured: TestLostLearnerIsRemoved fails before (no change planned) and passes.

--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -10,6 +10,10 @@
 // responsiveWithin is how recent the latest reply of a responsive member is.
 const responsiveWithin = time.Second
 
+// forgetLearnerAfter is how long a learner may be unresponsive before it is removed. One
+// that returns joins again.
+const forgetLearnerAfter = time.Minute
+
 // Obstacle is a reason why an unresponsive voter is not replaced.
 type Obstacle string
 
@@ -62,6 +66,9 @@
 	case voters == p.VoterCount && hasLearner && p.improvesSpread(learner):
 		return p.promote(learner)
 	}
+	if lost, ok := p.lostLearner(); ok {
+		return p.Status.Membership.Without(lost.ID), "removed unresponsive learner " + lost.Name
+	}
 	return raft.Membership{}, ""
 }
 
@@ -130,6 +137,16 @@
 	return raft.Member{}, false
 }
 
+// lostLearner returns a learner that has been unresponsive for forgetLearnerAfter.
+func (p VoterPlan) lostLearner() (raft.Member, bool) {
+	for _, member := range p.Status.Membership.Members {
+		if !member.Voter && p.silenceOf(member) >= forgetLearnerAfter {
+			return member, true
+		}
+	}
+	return raft.Member{}, false
+}
+
 // bestLearner returns the responsive learner that has caught up and whose
 // failure domain has the fewest live voters. Ties go to the lowest name.
 func (p VoterPlan) bestLearner() (raft.Member, bool) {
--- a/internal/group/voters_test.go
+++ b/internal/group/voters_test.go
@@ -35,3 +35,16 @@
 	_, change = plan.NextChange()
 	c.Check(change, qt.Equals, "demoted n4 to learner")
 }
+
+// Each instance that is replaced for good as a learner would leave an entry behind, to
+// which the leader sends heartbeats for ever.
+func TestLostLearnerIsRemoved(t *testing.T) {
+	c := qt.New(t)
+	plan := planWithLostVoter(0, true)
+	plan.SinceLastReply[4] = forgetLearnerAfter - time.Second
+	_, change := plan.NextChange()
+	c.Check(change, qt.Equals, "")
+	plan.SinceLastReply[4] = forgetLearnerAfter
+	_, change = plan.NextChange()
+	c.Check(change, qt.Equals, "removed unresponsive learner n4")
+}
