Let the lease of a dead target end despite starts due to it

Callers saw: a long-running task whose target died was started elsewhere the later, the more starts were due to the dead target.

Cause: each of the three attempts of a start took a new deadline and extended the lease, three starts at a time, so the lease ran on until the last start had been given up.

Ruled out: renewals. They had no deadline once a call was unanswered.

Change: a start takes one deadline, which its repeats keep. extendLease extends nothing while the target does not answer, so neither renewals nor starts do; the two are its only callers. A start that has not been sent by then waits 0.2 s at most. If no earlier leader can have sent it, the run is absent and its task goes elsewhere at once; an inherited run is started or stopped after the next listing, as before. A start in doubt is repeated, then stopped, as before. What a target may hold only gets shorter: leaseExpiry still covers each deadline that is sent.

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -127,11 +127,15 @@
 }
 
 // extendLease returns the lease deadline for an order sent now, by the target's
-// clock, and extends leaseExpiry to cover it. It returns zero while the target's
-// clock is unknown.
+// clock, and extends leaseExpiry to cover it. It returns zero, and extends nothing,
+// while the target's clock is unknown and while the target does not answer, so that
+// the lease of a lost target expires.
 func (d *driver) extendLease() Clock {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.failures > 0 {
+		return 0
+	}
 	now := time.Now()
 	clock := d.clockLowerBound(now)
 	if clock == 0 {
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -20,6 +20,9 @@
 	// maxConcurrentStarts bounds the starts in flight to a target, so that a
 	// wide step does not open a connection for each of its tasks.
 	maxConcurrentStarts = 3
+	// maxStartDelay is how long a start that has not been sent waits for its target
+	// to answer again.
+	maxStartDelay = 200 * time.Millisecond
 	// stopRetryInterval is the shortest time between two stops of the same run.
 	stopRetryInterval = 500 * time.Millisecond
 )
@@ -31,11 +34,12 @@
 		return
 	}
 	d.wakeUp()
+	sendBy := time.Now().Add(maxStartDelay)
 	d.leader.goroutines.Go(func() {
 		if !d.acquireStartSlot() {
 			return
 		}
-		state := d.sendStart(key, ticket)
+		state := d.sendStart(key, ticket, sendBy)
 		d.releaseStartSlot()
 		d.setRunState(key, state)
 		if state == runStarted {
@@ -129,18 +133,26 @@
 }
 
 // sendStart sends the start until it is answered or the attempts are used up, and
-// returns the resulting state of the run.
-func (d *driver) sendStart(key runKey, ticket string) runState {
-	unanswered := false
+// returns the resulting state of the run. All attempts carry the deadline of the
+// first, so that repeating a start extends no lease. If the target does not answer
+// by the given time, the start is not sent.
+func (d *driver) sendStart(key runKey, ticket string, sendBy time.Time) runState {
+	var deadline Clock
+	sent := false
 	for range startAttempts {
 		assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
 		if !assignment.Desired {
 			break
 		}
-		deadline := d.extendLease()
+		if deadline == 0 {
+			deadline = d.extendLease()
+		}
+		if deadline == 0 && time.Now().After(sendBy) {
+			break
+		}
 		if deadline == 0 || !d.leader.canSendOrders() {
 			if !group.SleepContext(d.ctx, renewalRetryDelay) {
-				break
+				return runUncertain
 			}
 			continue
 		}
@@ -152,7 +164,7 @@
 			Ticket:     ticket,
 			Deadline:   deadline,
 			Token:      d.leader.token(),
-		}, unanswered)
+		}, sent)
 		if err == nil {
 			return runStarted
 		}
@@ -165,14 +177,34 @@
 		case errors.Is(err, ErrFenced):
 			d.leader.fence()
 			return runUncertain
-		case errors.Is(err, ErrRefused) && !unanswered:
+		case errors.Is(err, ErrRefused) && !sent:
 			return runAbsent
 		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherIncarnation):
 			return runUncertain
 		}
-		unanswered = true
+		sent = true
+	}
+	if sent {
+		return runUncertain
+	}
+	return d.unsentState(key)
+}
+
+// unsentState returns the state of a run whose start this leader has not sent. An
+// earlier leader may have sent the start of an inherited run, so that run is started
+// or stopped after the next listing. Any other run is certain never to start.
+func (d *driver) unsentState(key runKey) runState {
+	d.log.WithFields(logrus.Fields{
+		"job":  key.task.Job,
+		"task": key.task.Name(),
+		"run":  key.run,
+	}).Warn("target: start not sent")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.inherited[key] {
+		return runUnknown
 	}
-	return runUncertain
+	return runAbsent
 }
 
 // callStart sends the start once. The timeout of the first attempt follows the
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -130,12 +130,9 @@
 		renewal.Wait = min(renewal.Wait, d.renewalWait(time.Now()))
 	}
 	d.mu.Unlock()
-	// Any renewal may arrive and extend the lease. A target that does not
-	// answer is therefore only asked for its listing, so that its lease can
-	// expire.
-	if !unanswered {
-		renewal.Deadline = d.extendLease()
-	}
+	// Any renewal may arrive and extend the lease. A target that does not answer is
+	// therefore only asked for its listing: its renewals have no deadline.
+	renewal.Deadline = d.extendLease()
 	return renewal
 }
 
