Speculate from the threshold of failures on, not at it alone

Callers saw: tasks that allow a second run waited for the lease of their silent target to expire (about 5 s) whenever a start, stop or pace went unanswered beside a renewal.

Cause: second runs were requested when the count of failures was equal to two after a failed renewal. Starts, stops and paces raise the same count, so it can pass two between renewals.

Ruled out: counting renewals alone would miss a target that answers none of its starts.

Change: second runs are requested at two failures and above. Each run is marked when it gets one, so further failures request nothing.

--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -434,6 +434,38 @@
 	s.assertNoDoubleRuns()
 }
 
+// Starts, stops and paces that get no answer count as failures as well. When they
+// raised the count past the threshold between two renewals, the tasks of a silent
+// target got no second run until its lease expired.
+func TestSpeculativeRunsStartWhenFailuresPassThreshold(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	step := tasks(2)
+	step.Speculative = true
+	s.submit("a", step)
+	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+	// The driver's renewal loop is not started, so that nothing resets the failures.
+	d := newDriver(s.scheduler.currentLeader.Load(), s.scheduler.ledger.Targets()[0])
+	d.leaseExpiry = time.Now().Add(time.Minute)
+	for range speculateAfterFailures {
+		d.recordAnswer(0, ErrNoAnswer)
+	}
+	s.c.Assert(d.handleRenewalFailure(ErrNoAnswer), qt.IsFalse)
+	d.mu.Lock()
+	speculated := 0
+	for _, info := range d.runs {
+		if info.speculated {
+			speculated++
+		}
+	}
+	d.mu.Unlock()
+	s.c.Assert(speculated, qt.Equals, 2)
+	// Further failures must not request the second runs again.
+	before := s.scheduler.host.Replica().Status().Commit
+	s.c.Assert(d.handleRenewalFailure(ErrNoAnswer), qt.IsFalse)
+	s.c.Assert(s.scheduler.host.Replica().Status().Commit, qt.Equals, before)
+}
+
 // When starts are usually answered within milliseconds, an unanswered start is
 // retried soon, not only after the full call timeout.
 func TestUnansweredStartIsRetriedSoon(t *testing.T) {
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -23,7 +23,7 @@
 	// stopped or the outcome of its start is uncertain.
 	uncertainRunWait = 150 * time.Millisecond
 	// speculateAfterFailures is the number of consecutive unanswered calls
-	// after which the target's tasks that allow it get a speculative second
+	// from which on the target's tasks that allow it get a speculative second
 	// run.
 	speculateAfterFailures = 2
 )
@@ -178,7 +178,7 @@
 		d.log.WithError(err).Warn("target: no answer")
 		d.leader.wakeDecisionLoop()
 	}
-	if failures == speculateAfterFailures {
+	if failures >= speculateAfterFailures {
 		d.startSpeculativeRuns("target does not answer")
 	}
 	if !leaseExpired || !heartbeatsStopped && d.leader.scheduler.ledger.RunCount(d.target.ID) == 0 {
