Order the pace of inherited best-effort runs once

Callers saw: best-effort work that one leader had slowed down, to nothing at worst, stood still under the next, though the services beside it could bear it or were gone. Such work is not moved either, as it is not watched for stalls.

Cause: a run's last acknowledged pace began at 100 for runs that an earlier leader may have paced. The controller begins at 100 too, so no order was due.

Ruled out: keeping the pace in the log, which would cost a commit for each change of it.

Change: the pace of an inherited run is unknown, so the first listing that has the run brings one order, at the pace that the controller gives then.

Measured: TestInheritedRunIsPacedAgain failed (no order in 10 s) and passes, 5 of 5 with the race detector; it also checks that one order suffices. The package passes with the race detector.

--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -65,6 +65,7 @@
 	startDelay     time.Duration
 	checkTickets   bool
 	starts         []Start
+	paces          []Pace
 	refused        int
 	doubleRuns     []string
 	ticketByTarget map[string]string
@@ -243,7 +244,10 @@
 	return list
 }
 
-func (f *fakeFleet) Pace(context.Context, *graph.Target, Pace) (Clock, error) {
+func (f *fakeFleet) Pace(_ context.Context, _ *graph.Target, order Pace) (Clock, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paces = append(f.paces, order)
 	return 0, nil
 }
 
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/plan"
+	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
 const waitTimeout = 10 * time.Second
@@ -498,3 +499,41 @@
 	s.c.Assert(d.lastCallFailed(), qt.IsFalse)
 	s.c.Assert(s.scheduler.ledger.Targets(), qt.HasLen, 1)
 }
+
+// An earlier leader may have slowed a best-effort run down to nothing. Its successor
+// assumed full speed, sent no order, and the run stood still although nothing ran
+// beside it.
+func TestInheritedRunIsPacedAgain(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	step := tasks(1)
+	step.BestEffort = true
+	s.submit("a", step)
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	target := s.scheduler.ledger.Targets()[0]
+	s.fleet.withLock(func() { s.c.Check(s.fleet.paces, qt.HasLen, 0) })
+	// The driver's renewal loop is not started, so that the listings below are all
+	// that it gets.
+	d := newDriver(s.scheduler.currentLeader.Load(), target)
+	d.inherit()
+	assignments := d.ledgerAssignments()
+	var list RunList
+	s.fleet.withLock(func() { list = s.fleet.targets["w0"].list() })
+	paces := func() []Pace {
+		var paces []Pace
+		s.fleet.withLock(func() { paces = append(paces, s.fleet.paces...) })
+		return paces
+	}
+	d.adjustPace(assignments, list)
+	s.eventually(waitTimeout, "the pace is ordered", func() bool { return len(paces()) == 1 })
+	s.c.Check(paces()[0].Percent, qt.Equals, pace.FullSpeed)
+	// One order suffices once it is answered.
+	s.eventually(waitTimeout, "the pace is known", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return !d.runInfo(keyOf(list.Running[0].Task, list.Running[0].Run)).pacing
+	})
+	d.adjustPace(assignments, list)
+	time.Sleep(50 * time.Millisecond)
+	s.c.Check(paces(), qt.HasLen, 1)
+}
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -14,6 +14,9 @@
 // uncertain.
 const startSendGrace = time.Second
 
+// unknownPercent is the pace of a run that an earlier leader may have paced.
+const unknownPercent = -1
+
 // runKey identifies a run on a target.
 type runKey struct {
 	task graph.TaskRef
@@ -54,8 +57,8 @@
 	state      runState
 	changedAt  time.Time
 	stopSentAt time.Time
-	// percent is the last acknowledged pace, and pacing is true while a new one
-	// is being sent.
+	// percent is the last acknowledged pace or unknownPercent, and pacing is true
+	// while a new one is being sent.
 	percent  int
 	pacing   bool
 	progress finish.Tracker
@@ -156,6 +159,7 @@
 	}
 	if d.inherited[key] {
 		info.state = runUnknown
+		info.percent = unknownPercent
 	}
 	d.runs[key] = info
 	return info
