Give a long task the time of a percent before it counts as stalled

Callers saw: a task of more than 70 s was moved while it worked on its first percent, and again wherever it began anew; a run of 160 s was started four times in 2.5 s. One that may run twice got a second run for nothing.

Cause: a run without progress for 0.7 s counted as stalled. The time per percent was taken into account only once the run had reported some, and a first percent that was nearly complete when the run was listed made that time too short.

Ruled out: a longer fixed time, which would find stalls of short tasks late and still be too short for some long ones.

Change: until a run has gained three percent, a percent takes at least its part of the expected duration: the longest of two or more completed runs of the step, or else the declared estimate. The factor stays at four percent, as for the run's own progress, since work away from its data takes up to three times the estimate (spread_factor of a site). 0.7 s stays the lower bound.

A task declared more than four times too short is still moved as before.

--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -167,6 +167,8 @@
 	BestEffort  bool
 	Latency     Millis
 	LongRunning bool
+	// Estimate is the client's estimate of the task's duration.
+	Estimate Millis
 	// Speculative is set if the task may have a second run concurrently.
 	Speculative bool
 	// Movable is set if the run may be stopped and the task placed again
@@ -217,6 +219,7 @@
 	assignment.BestEffort = step.BestEffort
 	assignment.Latency = step.Latency
 	assignment.LongRunning = step.LongRunning
+	assignment.Estimate = step.Estimate
 	assignment.Movable = !step.LongRunning && !step.Gang
 	assignment.Speculative = step.MaxConcurrentRuns() > 1
 	latest := task.State == TaskPlaced && task.Run == run && task.Target == id
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,8 +20,8 @@
 	// reported enough progress to predict its end.
 	noProgressWait = 600 * time.Millisecond
 	// stallTimeout is how long a task's progress stays unchanged before the
-	// task counts as stalled. For a task that progresses slowly, it is
-	// stallPercentFactor times the time that it takes per percent.
+	// task counts as stalled. For a task that progresses slowly, or is expected
+	// to, it is stallPercentFactor times the time that it takes per percent.
 	stallTimeout       = 700 * time.Millisecond
 	stallPercentFactor = 4
 	// siblingStallFactor is the ratio of a task's run time to that of its
@@ -81,11 +82,13 @@
 // updateProgress records the progress of one run, and reports whether it is
 // stalled, either by its own progress or compared with its siblings.
 func (d *driver) updateProgress(key runKey, assignment graph.Assignment, percent float64, now time.Time) bool {
+	step := plan.StepKeyOf(key.task)
+	expected := cmp.Or(d.leader.rater.LongestRun(step), time.Duration(assignment.Estimate)*time.Millisecond)
 	d.mu.Lock()
 	info := d.runInfo(key)
 	info.endNotAwaited = assignment.LongRunning || assignment.BestEffort
 	info.progress.Update(now, percent)
-	stalled := info.progress.IsStalled(stallTimeout, stallPercentFactor)
+	stalled := info.progress.IsStalled(stallTimeout, stallPercentFactor, expected)
 	completesAt, predicted := info.progress.EstimatedCompletion()
 	endNotAwaited := info.endNotAwaited
 	d.mu.Unlock()
@@ -97,7 +100,7 @@
 	case predicted && completesAt.Sub(now) < nearCompletion:
 		return false
 	}
-	return d.leader.rater.Stalled(plan.StepKeyOf(key.task), key.task.Index, siblingStallFactor, now)
+	return d.leader.rater.Stalled(step, key.task.Index, siblingStallFactor, now)
 }
 
 // expectedEnd predicts the end of a run on the target from its progress.
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -537,3 +537,19 @@
 	time.Sleep(50 * time.Millisecond)
 	s.c.Check(paces(), qt.HasLen, 1)
 }
+
+// A task that takes 1.6 s for one percent must not be moved while it works on its
+// first. It was moved after 0.7 s without progress, whatever its estimate, and so
+// began anew each time.
+func TestLongTaskIsNotMovedInFirstPercent(t *testing.T) {
+	s := newFixture(t, false, "w0", "w1")
+	s.fleet.runTime = 160 * time.Second
+	step := tasks(1)
+	step.Estimate = graph.Millis(s.fleet.runTime.Milliseconds())
+	s.submit("a", step)
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0")+s.runCount("w1") == 1 })
+	time.Sleep(2500 * time.Millisecond)
+	s.fleet.withLock(func() { s.c.Check(s.fleet.starts, qt.HasLen, 1) })
+	s.c.Check(s.runCount("w0")+s.runCount("w1"), qt.Equals, 1)
+	s.assertNoDoubleRuns()
+}
--- a/pkg/finish/finish.go
+++ b/pkg/finish/finish.go
@@ -67,14 +67,21 @@
 
 // IsStalled reports whether the task has stalled: its reported progress has not
 // changed for at least minDuration, and for at least factor times the average
-// time per percent before.
-func (t *Tracker) IsStalled(minDuration time.Duration, factor int) bool {
+// time per percent before. Until the progress suffices for an average, a percent
+// takes at least its part of the expected duration of the task, which is zero if
+// it is unknown.
+func (t *Tracker) IsStalled(minDuration time.Duration, factor int, expected time.Duration) bool {
 	if t.last.percent >= completePercent {
 		return false
 	}
-	if gain := t.last.percent - t.first.percent; gain > 0 {
-		perPercent := float64(t.lastProgress.Sub(t.first.at)) / gain
-		minDuration = max(minDuration, time.Duration(perPercent*float64(factor)))
+	perPercent := time.Duration(0)
+	gain := t.last.percent - t.first.percent
+	if gain > 0 {
+		perPercent = time.Duration(float64(t.lastProgress.Sub(t.first.at)) / gain)
+	}
+	if gain < minGain {
+		perPercent = max(perPercent, expected/completePercent)
 	}
+	minDuration = max(minDuration, time.Duration(factor)*perPercent)
 	return t.last.at.Sub(t.lastProgress) >= minDuration
 }
--- a/pkg/rating/rating.go
+++ b/pkg/rating/rating.go
@@ -213,15 +213,33 @@
 func (r *Rater[S, T]) Stalled(step S, task int, factor float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	runs := r.steps[step]
-	if runs == nil || len(runs.completed) < minSamples || runs.active[task] == nil {
+	longest := r.longestRun(step)
+	if longest == 0 || r.steps[step].active[task] == nil {
 		return false
 	}
-	longest := minStallBaseline
+	longest = max(longest, minStallBaseline)
+	return now.Sub(r.steps[step].active[task].started) > time.Duration(factor*float64(longest))
+}
+
+// LongestRun returns the longest duration of a completed run of the step, or zero
+// while too few have completed.
+func (r *Rater[S, T]) LongestRun(step S) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longestRun(step)
+}
+
+// longestRun is LongestRun with the lock held.
+func (r *Rater[S, T]) longestRun(step S) time.Duration {
+	runs := r.steps[step]
+	if runs == nil || len(runs.completed) < minSamples {
+		return 0
+	}
+	longest := time.Duration(0)
 	for _, completed := range runs.completed {
 		longest = max(longest, completed.duration)
 	}
-	return now.Sub(runs.active[task].started) > time.Duration(factor*float64(longest))
+	return longest
 }
 
 // Forget deletes the data of finished steps. The function may take locks that are
--- a/pkg/rating/rating_test.go
+++ b/pkg/rating/rating_test.go
@@ -131,3 +131,19 @@
 	minDifference := (speeds[2] - speeds[0]) / 2
 	c.Assert(mean[2]-mean[0] > minDifference, qt.IsTrue, qt.Commentf("%v after 4 runs each", mean))
 }
+
+// One run is no measure for the other tasks of its step, so its duration is not
+// given before a second has completed.
+func TestLongestRunNeedsSamples(t *testing.T) {
+	c := qt.New(t)
+	r := rating.NewRater[string, string]()
+	start := time.Unix(0, 0)
+	c.Check(r.LongestRun("step"), qt.Equals, time.Duration(0))
+	for task := range 3 {
+		r.Started("step", task, "a", start)
+	}
+	r.Done("step", 0, "a", start.Add(2*time.Second))
+	c.Check(r.LongestRun("step"), qt.Equals, time.Duration(0))
+	r.Done("step", 1, "a", start.Add(time.Second))
+	c.Check(r.LongestRun("step"), qt.Equals, 2*time.Second)
+}
