Stop a voter in the test of a replaced voter

Any three may have become the voters, and a learner is not replaced: it failed twice, after 60 s, of some 15 runs beside TestDiskLoss. Its last check passed while there was no leader.

Change: it stops a voter beside the leader, and a missing leader meets neither check. Both are stricter than before.

--- a/internal/fake/failure_test.go
+++ b/internal/fake/failure_test.go
@@ -312,28 +312,45 @@
 		Voters: 3,
 		Spares: 1,
 	}, 0)
-	var victim *fake.Instance
-	for _, instance := range f.cell.Instances[:3] {
-		if !instance.Leading() {
-			victim = instance
-		}
-	}
-	isMember := func() bool {
+	victim := f.votingFollower()
+	// leaderLists reports whether there is a leader whose membership has the victim, or
+	// has it not.
+	leaderLists := func(listed bool) bool {
 		leader := f.cell.Leader()
 		if leader == nil {
-			return true
+			return false
 		}
+		found := false
 		for _, member := range leader.Daemon.Node().Membership().Members {
-			if member.Name == victim.Settings.Name {
-				return true
-			}
+			found = found || member.Name == victim.Settings.Name
 		}
-		return false
+		return found == listed
 	}
 	victim.Kill()
-	f.eventually("the voter to be replaced", func() bool { return !isMember() })
+	f.eventually("the voter to be replaced", func() bool { return leaderLists(false) })
 	f.Assert(victim.Start(false), qt.IsNil)
-	f.eventually("the voter to be a member again", isMember)
+	f.eventually("the voter to be a member again", func() bool { return leaderLists(true) })
+}
+
+// votingFollower returns a voter that does not lead. Any three of the instances may have
+// become the voters.
+func (f *fixture) votingFollower() *fake.Instance {
+	var found *fake.Instance
+	f.eventually("a voter beside the leader", func() bool {
+		leader := f.cell.Leader()
+		if leader == nil {
+			return false
+		}
+		for _, member := range leader.Daemon.Node().Membership().Members {
+			for _, instance := range f.cell.Instances {
+				if member.Voter && member.Name == instance.Settings.Name && instance != leader {
+					found = instance
+				}
+			}
+		}
+		return found != nil
+	})
+	return found
 }
 
 // TestRestartAfterManyNotes restarts a voter and a diskless instance that missed
