Let a leader survive the commit of its own removal

A leader taken out by an operator (`jasctl instance remove`) panics.

Cause: the reply that commits the removal makes it a follower, which drops its view of the members, and the rest of the reply's handling reads it.

Change: handling ends there.

Measured: TestLeaderRemovesItself panics without the change and passes.

--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -233,6 +233,10 @@
 		pr.match = m.Index
 		c.maybeCommit()
 	}
+	// The commit of its own removal ends the leadership.
+	if c.role != RoleLeader {
+		return
+	}
 	if pr.pendingSnapshot != 0 && pr.match >= pr.pendingSnapshot {
 		pr.pendingSnapshot = 0
 		pr.probing = true
--- a/pkg/raft/silence_test.go
+++ b/pkg/raft/silence_test.go
@@ -121,3 +121,27 @@
 	// time is that of the last tick.
 	c.Check(core.SinceLastReply()[3], qt.Equals, now-2*time.Millisecond)
 }
+
+// A leader that commits its own removal is no longer the leader when it handles the reply
+// that committed it.
+func TestLeaderRemovesItself(t *testing.T) {
+	c := qt.New(t)
+	core := newThreeVoterCore()
+	now := electCore(c, core, time.Millisecond)
+	now = leadFor(core, now, testElectionTimeout)
+	_, _, err := core.ProposeMembership(core.membership.Without(1))
+	c.Assert(err, qt.IsNil)
+	for range 10 {
+		for _, id := range []ID{2, 3} {
+			core.Step(Message{
+				Kind:   MessageAppendReply,
+				From:   id,
+				To:     1,
+				Term:   core.term,
+				Index:  core.log.lastIndex(),
+				SentAt: now,
+			}, now)
+		}
+	}
+	c.Check(core.role, qt.Equals, RoleFollower)
+}
