Promote no learner that has gone silent

The learner was promoted, the change could not be committed, and the leader stepped down; with three voters there had been a quorum.

Cause: a learner that has every entry counts as caught up whether it replies or not.

Change: it must have replied within an election timeout, at the look and at the proposal.

Measured: TestSilentLearnerIsNotPromoted fails with the condition taken out and passes.

--- a/pkg/raft/catchup.go
+++ b/pkg/raft/catchup.go
@@ -25,9 +25,10 @@
 }
 
 // CaughtUp reports whether the member has synced all entries that were committed a
-// heartbeat interval ago, and the first one of this leader. Under a steady load the
-// newest entries are always on their way to it.
+// heartbeat interval ago, and the first one of this leader, and has replied within an
+// election timeout. Under a steady load the newest entries are always on their way to
+// it. A member that has gone silent would be missing in the quorum that it is to join.
 func (c *Core) CaughtUp(id ID) bool {
 	pr := c.progress[id]
-	return pr != nil && pr.match >= c.marks.settled
+	return pr != nil && pr.match >= c.marks.settled && c.now-pr.lastReplyAt < c.cfg.ElectionTimeout
 }
--- a/pkg/raft/catchup_test.go
+++ b/pkg/raft/catchup_test.go
@@ -20,6 +20,8 @@
 	now     time.Duration
 	lag     time.Duration
 	replies []delayedReply
+	// idle means that nothing is proposed.
+	idle bool
 }
 
 func newLagTest(c *qt.C, lag time.Duration) *lagTest {
@@ -41,13 +43,19 @@
 func (l *lagTest) runFor(duration time.Duration) {
 	for end := l.now + duration; l.now < end; l.now += time.Millisecond {
 		l.core.Tick(l.now)
-		if _, _, err := l.core.Propose([]byte("x")); err == nil {
-			l.core.Flush()
+		if !l.idle {
+			l.propose()
 		}
 		l.exchange()
 	}
 }
 
+func (l *lagTest) propose() {
+	if _, _, err := l.core.Propose([]byte("x")); err == nil {
+		l.core.Flush()
+	}
+}
+
 // exchange sends what the core has to send, and delivers the replies that are due.
 func (l *lagTest) exchange() {
 	ready := l.core.Ready()
@@ -98,6 +106,22 @@
 	c.Assert(err, qt.IsNil)
 }
 
+// A learner that has just gone silent must not be promoted in place of a lost voter: the
+// new quorum could not be reached, and a group that had one would have none.
+func TestSilentLearnerIsNotPromoted(t *testing.T) {
+	c := qt.New(t)
+	l := newLagTest(c, 0)
+	c.Assert(l.core.CaughtUp(3), qt.IsTrue)
+	l.idle = true
+	l.runFor(testElectionTimeout)
+	l.lag = time.Hour
+	l.runFor(testElectionTimeout + time.Millisecond)
+	promoted, _ := l.core.membership.Find(3)
+	promoted.Voter = true
+	_, _, err := l.core.ProposeMembership(l.core.membership.With(promoted))
+	c.Check(err, qt.ErrorIs, ErrMembershipChange)
+}
+
 // A learner that is far behind must not become a voter: commits would wait for it.
 func TestLearnerFarBehindIsNotPromoted(t *testing.T) {
 	c := qt.New(t)
