Demote no voter beside one that may have to be removed

Cause: the gate was a second of leading, sampled apart from the silences, and the silence counts from the time after which a voter is replaced.

Change: a surplus voter is demoted once all voters have replied within a second and to this leader. The time of leading and the silences come from one look at the replica. A change of the membership blocks the looks for a second at most (it was five).

--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -24,8 +24,9 @@
 	joinedInterval = time.Second
 	// votersInterval is the pause between looks of the leader at the voters.
 	votersInterval = 300 * time.Millisecond
-	// changeTimeout bounds one membership change.
-	changeTimeout = 5 * time.Second
+	// changeTimeout bounds one membership change. The leader does not look at the
+	// voters meanwhile.
+	changeTimeout = time.Second
 	// joinTimeout bounds one attempt to join the group.
 	joinTimeout = 2 * time.Second
 )
@@ -194,18 +195,13 @@
 
 // maintainVoters adjusts the voters while the instance is the leader.
 func (h *Host) maintainVoters() {
-	var leadingSince time.Time
 	for SleepContext(h.ctx, votersInterval) {
 		replica := h.replica.Load()
 		if replica == nil || replica.Status().Role != raft.RoleLeader {
-			leadingSince = time.Time{}
 			h.members.Reset()
 			continue
 		}
-		if leadingSince.IsZero() {
-			leadingSince = time.Now()
-		}
-		h.adjustVoters(replica, time.Since(leadingSince))
+		h.adjustVoters(replica)
 	}
 }
 
@@ -274,14 +270,15 @@
 }
 
 // adjustVoters makes the next change that moves the voters towards the
-// configuration, if one is needed. The instance has led for the given time.
-func (h *Host) adjustVoters(replica *raft.Replica, leading time.Duration) {
+// configuration, if one is needed.
+func (h *Host) adjustVoters(replica *raft.Replica) {
+	observation := replica.Observe(h.ctx)
 	plan := VoterPlan{
 		Status:         replica.Status(),
-		SinceLastReply: replica.SinceLastReply(h.ctx),
+		SinceLastReply: observation.SinceLastReply,
 		VoterCount:     h.cfg.Voters,
 		ReplaceAfter:   h.cfg.ReplaceVoterAfter,
-		Leading:        leading,
+		Leading:        observation.Leading,
 		CaughtUp: func(id raft.ID) bool {
 			return replica.CaughtUp(h.ctx, id)
 		},
--- a/internal/group/transfer.go
+++ b/internal/group/transfer.go
@@ -48,7 +48,7 @@
 // successor returns the other voter with the most recent reply, or 0 if there is
 // none.
 func successor(ctx context.Context, replica *raft.Replica) raft.ID {
-	sinceLastReply := replica.SinceLastReply(ctx)
+	sinceLastReply := replica.Observe(ctx).SinceLastReply
 	var best raft.ID
 	for _, id := range replica.Status().Membership.Voters() {
 		duration, ok := sinceLastReply[id]
--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -38,8 +38,7 @@
 	// ReplaceAfter is how long a voter may be unresponsive before a learner
 	// replaces it.
 	ReplaceAfter time.Duration
-	// Leading is how long the replica has planned as the leader. A new leader does not
-	// know yet which voters respond, so it demotes none.
+	// Leading is how long the replica has led.
 	Leading time.Duration
 	// CaughtUp reports whether the member keeps up with the log.
 	CaughtUp func(raft.ID) bool
@@ -61,7 +60,7 @@
 		return p.promote(learner)
 	case voters > p.VoterCount && hasUnresponsive:
 		return p.Status.Membership.Without(unresponsive.ID), "removed unresponsive voter " + unresponsive.Name
-	case voters > p.VoterCount && p.Leading >= responsiveWithin:
+	case voters > p.VoterCount && p.allVotersReply():
 		return p.demoteVoter()
 	case voters == p.VoterCount && hasLearner && p.improvesSpread(learner):
 		return p.promote(learner)
@@ -105,11 +104,7 @@
 // Obstacle returns why a voter that does not respond stays in the group, or "" if all
 // voters respond or the next change brings a replacement nearer.
 func (p VoterPlan) Obstacle() Obstacle {
-	silent := false
-	for _, member := range p.Status.Membership.Members {
-		silent = silent || member.Voter && p.silenceOf(member) >= responsiveWithin
-	}
-	if !silent {
+	if !p.hasSilentVoter(responsiveWithin) {
 		return ""
 	}
 	if _, change := p.NextChange(); change != "" {
@@ -126,6 +121,22 @@
 	return ObstacleNoLearner
 }
 
+// hasSilentVoter reports whether a voter has not replied for the duration.
+func (p VoterPlan) hasSilentVoter(duration time.Duration) bool {
+	for _, member := range p.Status.Membership.Members {
+		if member.Voter && member.ID != p.Status.ID && p.silenceOf(member) >= duration {
+			return true
+		}
+	}
+	return false
+}
+
+// allVotersReply reports whether all voters have replied lately, and to this leader. A
+// surplus voter is not demoted before: the one to remove may be among the others.
+func (p VoterPlan) allVotersReply() bool {
+	return p.Leading > 0 && !p.hasSilentVoter(min(responsiveWithin, p.Leading))
+}
+
 // unresponsiveVoter returns a voter that has been unresponsive for the
 // ReplaceAfter time.
 func (p VoterPlan) unresponsiveVoter() (raft.Member, bool) {
--- a/internal/group/voters_test.go
+++ b/internal/group/voters_test.go
@@ -21,8 +21,19 @@
 
 	_, change := plan.NextChange()
 	c.Check(change, qt.Equals, "")
+	// Later it may have missed the voter, but not yet for long enough to remove it.
+	for _, leading := range []time.Duration{
+		100 * time.Millisecond,
+		responsiveWithin,
+		1500 * time.Millisecond,
+		time.Minute,
+	} {
+		plan.Leading = leading
+		plan.SinceLastReply[3] = min(leading, 1500*time.Millisecond)
+		_, change = plan.NextChange()
+		c.Check(change, qt.Equals, "", qt.Commentf("after %s", leading))
+	}
 
-	plan.Leading = responsiveWithin
 	plan.SinceLastReply = map[raft.ID]time.Duration{
 		2: 0,
 		3: 3 * time.Second,
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -147,25 +147,25 @@
 	ticker := time.NewTicker(votersInterval)
 	defer ticker.Stop()
 	watch := group.NewMemberWatch(l.node.log)
-	leadingSince := time.Now()
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case <-ticker.C:
-			l.adjustVoters(watch, time.Since(leadingSince))
+			l.adjustVoters(watch)
 		}
 	}
 }
 
-func (l *leader) adjustVoters(watch *group.MemberWatch, leading time.Duration) {
+func (l *leader) adjustVoters(watch *group.MemberWatch) {
 	replica := l.node.replica.Load()
+	observation := replica.Observe(l.ctx)
 	plan := group.VoterPlan{
 		Status:         replica.Status(),
-		SinceLastReply: replica.SinceLastReply(l.ctx),
+		SinceLastReply: observation.SinceLastReply,
 		VoterCount:     l.node.cfg.Voters,
 		ReplaceAfter:   l.node.cfg.Timing.ReplaceVoterAfter,
-		Leading:        leading,
+		Leading:        observation.Leading,
 		CaughtUp: func(id raft.ID) bool {
 			return replica.CaughtUp(l.ctx, id)
 		},
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -359,10 +359,10 @@
 	r.runOnLoop(func() { _ = r.core.Transfer(to) })
 }
 
-// SinceLastReply returns the time since the last reply of each other member. It
-// is only meaningful on the leader.
-func (r *Replica) SinceLastReply(ctx context.Context) map[ID]time.Duration {
-	return query(ctx, r, func() map[ID]time.Duration { return r.core.SinceLastReply() })
+// Observe returns what this replica observes of the other members. It is only meaningful
+// on the leader.
+func (r *Replica) Observe(ctx context.Context) Observation {
+	return query(ctx, r, func() Observation { return r.core.Observe() })
 }
 
 // CaughtUp reports whether the member keeps up with the log (see Core.CaughtUp). It is
--- a/pkg/raft/silence.go
+++ b/pkg/raft/silence.go
@@ -7,21 +7,32 @@
 // has seen.
 const ownObservationTimeouts = 2
 
-// SinceLastReply returns the time since the last reply of each other member. It goes
-// on counting across changes of the leader, as far as the leaders told each other.
-func (c *Core) SinceLastReply() map[ID]time.Duration {
-	since := make(map[ID]time.Duration, len(c.progress))
-	leading := c.now - c.leaderSince
+// Observation is what the leader observes of the other members.
+type Observation struct {
+	// Leading is how long the replica has led.
+	Leading time.Duration
+	// SinceLastReply is the time since the last reply of each other member. It goes on
+	// counting across changes of the leader, as far as the leaders told each other.
+	SinceLastReply map[ID]time.Duration
+}
+
+// Observe returns what the leader observes of the other members. It is only meaningful
+// on the leader.
+func (c *Core) Observe() Observation {
+	o := Observation{
+		Leading:        c.now - c.leaderSince,
+		SinceLastReply: make(map[ID]time.Duration, len(c.progress)),
+	}
 	for id, pr := range c.progress {
 		if id == c.cfg.ID {
 			continue
 		}
-		since[id] = c.now - pr.lastReplyAt
-		if leading < ownObservationTimeouts*c.cfg.ElectionTimeout {
-			since[id] = min(since[id], leading)
+		o.SinceLastReply[id] = c.now - pr.lastReplyAt
+		if o.Leading < ownObservationTimeouts*c.cfg.ElectionTimeout {
+			o.SinceLastReply[id] = min(o.SinceLastReply[id], o.Leading)
 		}
 	}
-	return since
+	return o
 }
 
 // silentMembers returns the members that have not replied for an election timeout.
--- a/pkg/raft/silence_test.go
+++ b/pkg/raft/silence_test.go
@@ -72,10 +72,10 @@
 	now = electCore(c, core, now)
 
 	// The member may reply to this leader, so it is not silent at once.
-	c.Check(core.SinceLastReply()[3] < testElectionTimeout, qt.IsTrue)
+	c.Check(core.Observe().SinceLastReply[3] < testElectionTimeout, qt.IsTrue)
 	now = leadFor(core, now, ownObservationTimeouts*testElectionTimeout)
-	c.Check(core.SinceLastReply()[3] > silence, qt.IsTrue, qt.Commentf("%v", core.SinceLastReply()))
-	c.Check(core.SinceLastReply()[2] < testElectionTimeout, qt.IsTrue)
+	c.Check(core.Observe().SinceLastReply[3] > silence, qt.IsTrue, qt.Commentf("%v", core.Observe().SinceLastReply))
+	c.Check(core.Observe().SinceLastReply[2] < testElectionTimeout, qt.IsTrue)
 
 	// This leader tells its followers in turn.
 	told := time.Duration(0)
@@ -90,7 +90,7 @@
 	core.becomeFollower(core.term + 1)
 	now = electCore(c, core, now)
 	leadFor(core, now, ownObservationTimeouts*testElectionTimeout)
-	c.Check(core.SinceLastReply()[3] > silence, qt.IsTrue)
+	c.Check(core.Observe().SinceLastReply[3] > silence, qt.IsTrue)
 }
 
 // A member that was silent before and replies to the new leader keeps its place.
@@ -115,11 +115,11 @@
 	now = electCore(c, core, now)
 	for range 5 {
 		now = leadFor(core, now, testElectionTimeout)
-		c.Check(core.SinceLastReply()[2] < testElectionTimeout, qt.IsTrue)
+		c.Check(core.Observe().SinceLastReply[2] < testElectionTimeout, qt.IsTrue)
 	}
 	// The old leader was last heard from when it sent its message, at 1 ms. The core's
 	// time is that of the last tick.
-	c.Check(core.SinceLastReply()[3], qt.Equals, now-2*time.Millisecond)
+	c.Check(core.Observe().SinceLastReply[3], qt.Equals, now-2*time.Millisecond)
 }
 
 // A leader that commits its own removal is no longer the leader when it handles the reply
