Take a suspension of the leader for no silence of the others

So did a suspended follower.

Cause: proposals were handled before the next tick; the times of last replies were kept as they were.

Change: a membership change needs a quorum's reply within an election timeout, a tick comes before calls and proposals, and the time in which a quorum did not reply, or in which the replica itself stood still, is left out of the silences that are carried on.

Measured: TestSuspensionIsNoSilenceOfOthers and TestLeaderWithoutFreshQuorumChangesNoMembership fail with the parts of the change taken out one by one and pass; pkg/raft and internal/group pass with the race detector.

--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -270,7 +270,7 @@
 
 // Step processes a message from another replica.
 func (c *Core) Step(m Message, now time.Duration) {
-	c.now = now
+	c.advance(now)
 	if m.To != c.cfg.ID {
 		return
 	}
@@ -313,7 +313,7 @@
 
 // Tick advances the time and handles timeouts that have expired.
 func (c *Core) Tick(now time.Duration) {
-	c.now = now
+	c.advance(now)
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
@@ -330,7 +330,7 @@
 
 func (c *Core) tickLeader() {
 	c.markCommit()
-	if c.now-max(c.quorumAckTime(), c.leaderSince) > c.cfg.ElectionTimeout {
+	if !c.hasFreshQuorum() {
 		c.becomeFollower(c.term)
 		return
 	}
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -52,7 +52,7 @@
 // next may differ in one member only, a change that was made from an older membership
 // can't undo the one before it.
 func (c *Core) membershipChangeAllowed(next Membership) bool {
-	if c.membershipIndex > c.commit || !c.committedInTerm() || len(next.Voters()) == 0 {
+	if c.membershipIndex > c.commit || !c.committedInTerm() || len(next.Voters()) == 0 || !c.hasFreshQuorum() {
 		return false
 	}
 	changes := 0
@@ -74,6 +74,12 @@
 	return changes <= 1
 }
 
+// hasFreshQuorum reports whether a quorum has replied within an election timeout. A
+// leader without one may have been suspended and deposed meanwhile.
+func (c *Core) hasFreshQuorum() bool {
+	return c.now-max(c.quorumAckTime(), c.leaderSince) <= c.cfg.ElectionTimeout
+}
+
 // committedInTerm reports whether an entry of the current term is committed.
 func (c *Core) committedInTerm() bool {
 	term, ok := c.log.term(c.commit)
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -38,6 +38,8 @@
 	for _, m := range inbox {
 		r.step(m, now)
 	}
+	// The replica may have been suspended for longer than its leadership lasts.
+	r.core.Tick(now)
 	for _, call := range calls {
 		call()
 	}
--- a/pkg/raft/silence.go
+++ b/pkg/raft/silence.go
@@ -60,14 +60,27 @@
 }
 
 // keepLastReplies keeps the times of the last replies when the leader steps down, for
-// the case that it is elected again before it hears from another leader.
+// the case that it is elected again before it hears from another leader. The time since
+// a quorum last replied is left out: the leader itself was cut off or suspended then.
 func (c *Core) keepLastReplies() {
+	cutOff := c.now - max(c.quorumAckTime(), c.leaderSince)
 	c.lastHeard = make(map[ID]time.Duration, len(c.progress))
 	for id, pr := range c.progress {
-		c.lastHeard[id] = pr.lastReplyAt
+		c.lastHeard[id] = min(pr.lastReplyAt+cutOff, c.now)
 	}
 }
 
+// advance sets the time. A step longer than an election timeout is a suspension of this
+// replica, which says nothing about the others.
+func (c *Core) advance(now time.Duration) {
+	if gap := now - c.now; gap > c.cfg.ElectionTimeout {
+		for id := range c.lastHeard {
+			c.lastHeard[id] += gap
+		}
+	}
+	c.now = now
+}
+
 // lastHeardFrom returns when the member was last heard from. A member that is not known
 // to be silent counts as heard from now.
 func (c *Core) lastHeardFrom(id ID) time.Duration {
--- a/pkg/raft/silence_test.go
+++ b/pkg/raft/silence_test.go
@@ -122,6 +122,51 @@
 	c.Check(core.Observe().SinceLastReply[3], qt.Equals, now-2*time.Millisecond)
 }
 
+// A replica that was suspended has heard from nobody meanwhile. It must not take that for
+// the silence of members that replied all the time, and have them replaced.
+func TestSuspensionIsNoSilenceOfOthers(t *testing.T) {
+	c := qt.New(t)
+	const suspension = 100 * testElectionTimeout
+	core := newThreeVoterCore()
+	now := electCore(c, core, time.Millisecond)
+	now = leadFor(core, now, 5*testElectionTimeout)
+	silent := core.Observe().SinceLastReply[3]
+	now += suspension
+	core.Tick(now)
+	c.Assert(core.role, qt.Equals, RoleFollower)
+	now = electCore(c, core, now)
+	now = leadFor(core, now, 3*testElectionTimeout)
+	got := core.Observe().SinceLastReply
+	c.Check(got[2] < testElectionTimeout, qt.IsTrue)
+	c.Check(got[3] > silent && got[3] < silent+suspension/2, qt.IsTrue, qt.Commentf("%s, %s before", got[3], silent))
+
+	core.becomeFollower(core.term + 1)
+	core.Step(Message{
+		Kind:    MessageAppend,
+		From:    3,
+		To:      1,
+		Term:    core.term,
+		Index:   1,
+		LogTerm: 1,
+	}, now)
+	now += suspension
+	now = electCore(c, core, now)
+	leadFor(core, now, 3*testElectionTimeout)
+	c.Check(core.Observe().SinceLastReply[3] < suspension/2, qt.IsTrue)
+}
+
+// A leader that wakes up from a suspension may have been deposed. It must not change the
+// membership by what it knew before.
+func TestLeaderWithoutFreshQuorumChangesNoMembership(t *testing.T) {
+	c := qt.New(t)
+	core := newThreeVoterCore()
+	now := electCore(c, core, time.Millisecond)
+	now = leadFor(core, now, testElectionTimeout)
+	core.advance(now + 10*testElectionTimeout)
+	_, _, err := core.ProposeMembership(core.membership.Without(3))
+	c.Check(err, qt.ErrorIs, ErrMembershipChange)
+}
+
 // A leader that commits its own removal is no longer the leader when it handles the reply
 // that committed it.
 func TestLeaderRemovesItself(t *testing.T) {
