Log the runs that end with a target

Cause sought: no line told which tasks a crashed target had taken with it, so a task that crashes targets could only be found by its many placements.

Change: `target: lifetime over` names the runs. No decision is changed.

--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -1,8 +1,10 @@
 package push
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -68,6 +70,7 @@
 // endIncarnations commits that the incarnations have ended, with all their
 // runs, and removes their drivers.
 func (l *leader) endIncarnations(why string, ids ...graph.TargetID) *wire.Fault {
+	lost := l.runsOn(ids)
 	result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.EndIncarnations{Targets: ids}})
 	if fault != nil {
 		l.log.WithFields(logrus.Fields{
@@ -83,12 +86,25 @@
 			"target": id.ID,
 			"born":   id.Incarnation,
 			"why":    why,
+			"runs":   strings.Join(lost[id], " "),
 		}).Info("target: lifetime over")
 		l.removeDriver(id)
 	}
 	return nil
 }
 
+// runsOn returns the names of the runs that may be active on the targets.
+func (l *leader) runsOn(ids []graph.TargetID) map[graph.TargetID][]string {
+	names := make(map[graph.TargetID][]string, len(ids))
+	for _, id := range ids {
+		for _, assignment := range l.scheduler.ledger.Assignments(id) {
+			names[id] = append(names[id], fmt.Sprintf("%s:%d", assignment.Task.Name(), assignment.Run))
+		}
+		slices.Sort(names[id])
+	}
+	return names
+}
+
 // logFinished logs each job that has ended.
 func (l *leader) logFinished(finished []graph.FinishedJob) {
 	for _, f := range finished {
