Give up a task that crashes the targets that start it

Cause: the end of an incarnation ended its runs as lapsed, which counts as no attempt. Nothing counted that a target had crashed under a task, and nothing kept such a task away from others.

Change: when a target's process has ended without having announced that it leaves (another incarnation answers or announces itself, or nothing listens any more when its lease is over), the leader names the tasks that may have caused it: those that were started and never listed, or else those first listed not long before, and those under which a target had crashed already. The ledger counts the crash against the most suspect of them and gives a task up at its second crash as the only suspect, or at its third; the job is failed. The count is in the replicated log, so it outlives the leader. Suspects, and copies of tasks on silent targets, are kept apart and away from other tasks where there is room. A suspect that has run for 10 s is none any more.

Ruled out: counting these as failed attempts, which would fail innocent jobs of two attempts; keeping suspects apart at any price, which would make the tasks of a lost rack wait.

Older replicas ignore the new fields of the log; until all are upgraded they may hold a job as running that newer ones hold as failed.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -26,6 +26,7 @@
 	Copy   *Speculate
 	Config *Config
 	Prune  *Prune
+	Clear  *ClearSuspicion
 }
 
 // Address is the host and path of a client's request, and its API key.
@@ -117,6 +118,22 @@
 // runs on them any more.
 type EndIncarnations struct {
 	Targets []TargetID
+	// Crashes has an entry for each of the targets whose process is known to have
+	// ended while tasks ran on it, other than by leaving.
+	Crashes []Crash `cbor:",omitempty"`
+}
+
+// Crash is the end of a target under its tasks. Suspects are the tasks that may have
+// caused it, as far as the proposer can tell.
+type Crash struct {
+	Target   TargetID
+	Suspects []TaskRef
+}
+
+// ClearSuspicion forgets the crashes counted against tasks, which have run for long
+// enough since.
+type ClearSuspicion struct {
+	Tasks []TaskRef
 }
 
 // Evict stops runs so that their tasks can be placed again elsewhere.
@@ -176,6 +193,8 @@
 type FinishedJob struct {
 	Job   JobID
 	State State
+	// GaveUp is the task that the job failed with because targets crashed under it.
+	GaveUp *TaskRef
 }
 
 // Encode returns the encoding of the command for the replicated log.
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -197,6 +197,8 @@
 	Occurrences []Occurrence
 	// Waiting counts the tasks in TaskWaiting over all occurrences.
 	Waiting int
+	// Crashes has the tasks under which targets have crashed.
+	Crashes []CrashCount `cbor:",omitempty"`
 }
 
 // TaskRef identifies a task.
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -26,6 +26,9 @@
 	usageByClientAccount map[string]quota.Resources
 	// pendingByQueue counts the live jobs of which no task has been placed.
 	pendingByQueue map[string]int
+	// suspects has the tasks of live jobs under which targets have crashed, with the
+	// number of crashes.
+	suspects map[TaskRef]int
 	// finished collects the jobs that the current command brings to a final
 	// state.
 	finished []FinishedJob
@@ -47,6 +50,7 @@
 	l.incarnations = map[string][]int64{}
 	l.usageByClientAccount = map[string]quota.Resources{}
 	l.pendingByQueue = map[string]int{}
+	l.suspects = map[TaskRef]int{}
 }
 
 // Apply applies a command to the state.
@@ -70,9 +74,7 @@
 	case c.Target != nil:
 		l.updateTarget(c.Target)
 	case c.Gone != nil:
-		for _, id := range c.Gone.Targets {
-			l.removeTarget(id)
-		}
+		l.endIncarnations(c.Gone)
 		return l.result()
 	case c.Evict != nil:
 		l.evict(c.Evict)
@@ -82,6 +84,8 @@
 		l.configure(c.Config)
 	case c.Prune != nil:
 		l.pruneJobs(c.Prune.Before)
+	case c.Clear != nil:
+		l.clearSuspicion(c.Clear)
 	}
 	return Result{}
 }
@@ -169,9 +173,13 @@
 	if !job.Started {
 		l.pendingByQueue[job.Queue]--
 	}
+	for _, c := range job.Crashes {
+		delete(l.suspects, c.Task)
+	}
 	job.State = state
 	job.Ended = l.now
 	job.Spec = Spec{}
+	job.Crashes = nil
 	job.Occurrences = nil
 	job.Waiting = 0
 	delete(l.liveJobs, job.ID)
@@ -330,6 +338,9 @@
 		if !job.Started {
 			l.pendingByQueue[job.Queue]++
 		}
+		for _, c := range job.Crashes {
+			l.suspects[c.Task] = c.Count
+		}
 	}
 	for _, item := range s.Targets {
 		t := item.Target
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -21,6 +23,8 @@
 	activeRuns map[TaskRef]map[uint32]TargetID
 	// doneTasks are the tasks that were reported as done.
 	doneTasks map[TaskRef]bool
+	// crashes counts the crashes of which a task was suspected.
+	crashes map[TaskRef]int
 }
 
 func testConfig(version int64, limit quota.MilliCPU) *Config {
@@ -62,6 +66,7 @@
 		now:        1000,
 		activeRuns: map[TaskRef]map[uint32]TargetID{},
 		doneTasks:  map[TaskRef]bool{},
+		crashes:    map[TaskRef]int{},
 	}
 	m.apply(Command{Config: testConfig(1, 6000)})
 	for i := range 3 {
@@ -273,6 +278,52 @@
 	}
 }
 
+// crash ends the target, as a crash with some suspects or as an end of another kind.
+func (m *ledgerModel) crash(t *rapid.T, id TargetID) {
+	end := &EndIncarnations{Targets: []TargetID{id}}
+	var running []TaskRef
+	for ref, runs := range m.activeRuns {
+		for _, target := range runs {
+			if target == id {
+				running = append(running, ref)
+			}
+		}
+	}
+	slices.SortFunc(running, func(a, b TaskRef) int { return strings.Compare(a.Name(), b.Name()) })
+	crash := Crash{Target: id}
+	for _, ref := range running {
+		if rapid.Bool().Draw(t, "suspect") {
+			crash.Suspects = append(crash.Suspects, ref)
+			m.crashes[ref]++
+		}
+	}
+	if len(crash.Suspects) > 0 {
+		end.Crashes = []Crash{crash}
+	}
+	for _, finished := range m.apply(Command{Gone: end}).Finished {
+		if finished.GaveUp != nil && m.crashes[*finished.GaveUp] < maxCrashesAlone {
+			t.Fatalf("%s was given up after %d crashes", finished.GaveUp.Name(), m.crashes[*finished.GaveUp])
+		}
+	}
+}
+
+// checkSuspects compares the index of suspect tasks with the jobs and the model.
+func (m *ledgerModel) checkSuspects(t *rapid.T) {
+	counted := 0
+	for _, job := range m.ledger.liveJobs {
+		for _, c := range job.Crashes {
+			counted++
+			if c.Count != m.ledger.suspects[c.Task] || c.Count > m.crashes[c.Task] || c.Count >= maxCrashes {
+				t.Fatalf("%s has %d crashes, the index says %d, the model %d",
+					c.Task.Name(), c.Count, m.ledger.suspects[c.Task], m.crashes[c.Task])
+			}
+		}
+	}
+	if counted != len(m.ledger.suspects) {
+		t.Fatalf("%d suspects, the index says %d", counted, len(m.ledger.suspects))
+	}
+}
+
 func (m *ledgerModel) checkJob(t *rapid.T, job *Job) {
 	waiting := 0
 	for k := range job.Occurrences {
@@ -335,7 +386,7 @@
 					ID:          fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "target")),
 					Incarnation: 1,
 				}
-				m.apply(Command{Gone: &EndIncarnations{Targets: []TargetID{id}}})
+				m.crash(t, id)
 				for _, runs := range m.activeRuns {
 					for run, target := range runs {
 						if target == id {
@@ -345,6 +396,11 @@
 				}
 				m.apply(Command{Target: newAnnouncement(id.ID, 1, 4000)})
 			},
+			"clear": func(t *rapid.T) {
+				if ref, job := m.drawTask(t); job != nil {
+					m.apply(Command{Clear: &ClearSuspicion{Tasks: []TaskRef{ref}}})
+				}
+			},
 			"copy": func(t *rapid.T) {
 				if ref, job := m.drawTask(t); job != nil {
 					m.apply(Command{Copy: &Speculate{Tasks: []TaskRef{ref}}})
@@ -365,7 +421,10 @@
 					t.Fatal(err)
 				}
 			},
-			"": m.check,
+			"": func(t *rapid.T) {
+				m.check(t)
+				m.checkSuspects(t)
+			},
 		})
 	})
 }
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -169,6 +169,8 @@
 	LongRunning bool
 	// Speculative is set if the task may have a second run concurrently.
 	Speculative bool
+	// Crashes is the number of targets that have crashed under the task.
+	Crashes int
 	// Movable is set if the run may be stopped and the task placed again
 	// elsewhere.
 	Movable bool
@@ -217,6 +219,7 @@
 	assignment.BestEffort = step.BestEffort
 	assignment.Latency = step.Latency
 	assignment.LongRunning = step.LongRunning
+	assignment.Crashes = l.suspects[ref]
 	assignment.Movable = !step.LongRunning && !step.Gang
 	assignment.Speculative = step.MaxConcurrentRuns() > 1
 	latest := task.State == TaskPlaced && task.Run == run && task.Target == id
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -107,6 +107,9 @@
 func (p *planner) assign(step *pendingStep, target *targetState, advice *StepAdvice, ref graph.TaskRef) {
 	p.take(step, target)
 	target.addPlaced(step.key, 1)
+	if p.isSuspect(step.job, ref) {
+		target.suspects++
+	}
 	p.usedByClientAccount[step.job.ClientAccount] = p.usedByClientAccount[step.job.ClientAccount].Add(step.spec.Resources)
 	if step.spec.BestEffort {
 		p.colocationOf(target).bestEffort++
@@ -125,6 +128,9 @@
 		target := p.byID[placement.Target.ID]
 		p.giveBack(step, target)
 		target.addPlaced(step.key, -1)
+		if p.isSuspect(step.job, placement.Task) {
+			target.suspects--
+		}
 		p.usedByClientAccount[step.job.ClientAccount] = p.usedByClientAccount[step.job.ClientAccount].Sub(step.spec.Resources)
 		delete(p.decision.Tickets, placement.Task)
 	}
@@ -191,7 +197,7 @@
 		if !p.fits(step, ref, target, advice) {
 			continue
 		}
-		score := p.score(step, target)
+		score := p.score(step, target) + p.suspectScore(step, ref, target)
 		if task := &step.tasks[ref.Index]; task.Failures > 0 && task.Target == target.info.ID {
 			score -= failedTargetPenalty
 		}
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -23,6 +23,8 @@
 	timeline   *holds.Timeline
 	// hold is the room held for a step that waits, or nil.
 	hold *holds.Hold
+	// suspects counts the suspect tasks on the target, see planner.isSuspect.
+	suspects int
 }
 
 // colocation counts the latency-sensitive services and the best-effort tasks on
@@ -52,6 +54,7 @@
 		p.byID[id.ID] = target
 	}
 	p.reservePending()
+	p.countSuspects()
 }
 
 // targetsByFreeShare returns the targets of the service in descending order of
@@ -111,6 +114,9 @@
 		if target := p.byID[id.ID]; target != nil {
 			target.free = target.free.Sub(step.Reservation())
 			target.addPlaced(StepKeyOf(ref), 1)
+			if p.isSuspect(job, ref) {
+				target.suspects++
+			}
 		}
 	}
 }
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -214,7 +214,7 @@
 // target.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
 	if older := l.scheduler.ledger.OlderIncarnations(h.Announce.ID); len(older) > 0 {
-		if fault := l.endIncarnations("newer lifetime announced", older...); fault != nil {
+		if fault := l.endIncarnations("newer lifetime announced", true, older...); fault != nil {
 			return fault
 		}
 	}
@@ -241,7 +241,7 @@
 	l.mu.Lock()
 	l.endedIncarnations[id] = true
 	l.mu.Unlock()
-	return l.endIncarnations("target left", id)
+	return l.endIncarnations("target left", false, id)
 }
 
 func (l *leader) currentIncarnation(id string) int64 {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -41,6 +41,10 @@
 	// attempt of a start is not counted.
 	failures    int
 	heartbeatAt time.Time
+	// answeredAt is when the target last answered a renewal, and down is true if no
+	// process listened at its address at the last call.
+	answeredAt time.Time
+	down       bool
 	// contacted is true once the target has answered a renewal.
 	contacted bool
 	// inherited is the set of runs that an earlier leader placed.
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -68,10 +68,15 @@
 }
 
 // endIncarnations commits that the incarnations have ended, with all their
-// runs, and removes their drivers.
-func (l *leader) endIncarnations(why string, ids ...graph.TargetID) *wire.Fault {
+// runs, and removes their drivers. A crash is the end of a process that has not
+// announced that it leaves.
+func (l *leader) endIncarnations(why string, crashed bool, ids ...graph.TargetID) *wire.Fault {
 	lost := l.runsOn(ids)
-	result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.EndIncarnations{Targets: ids}})
+	ended := &graph.EndIncarnations{Targets: ids}
+	if crashed {
+		ended.Crashes = l.crashesOf(ids)
+	}
+	result, fault := l.propose(l.ctx, graph.Command{Gone: ended})
 	if fault != nil {
 		l.log.WithFields(logrus.Fields{
 			"targets": len(ids),
@@ -81,6 +86,7 @@
 		return fault
 	}
 	l.logFinished(result.Finished)
+	l.logCrashes(ended.Crashes)
 	for _, id := range ids {
 		l.log.WithFields(logrus.Fields{
 			"target": id.ID,
@@ -108,6 +114,13 @@
 // logFinished logs each job that has ended.
 func (l *leader) logFinished(finished []graph.FinishedJob) {
 	for _, f := range finished {
+		if f.GaveUp != nil {
+			l.scheduler.metrics.jobsGivenUp.Inc()
+			l.log.WithFields(logrus.Fields{
+				"job":  f.Job,
+				"task": f.GaveUp.Name(),
+			}).Warn("sched: job given up, targets crash under its task")
+		}
 		l.log.WithFields(logrus.Fields{
 			"job":   f.Job,
 			"state": f.State.String(),
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -298,6 +298,8 @@
 	timing.CallTimeout = 150 * time.Millisecond
 	timing.MaxHeartbeatAge = 500 * time.Millisecond
 	timing.StopSettleTime = 400 * time.Millisecond
+	timing.FreshRunTime = 300 * time.Millisecond
+	timing.ClearSuspectAfter = 600 * time.Millisecond
 	return timing
 }
 
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -24,6 +24,8 @@
 	routes        *prometheus.CounterVec
 	runsEnded     *prometheus.CounterVec
 	electionsWon  prometheus.Counter
+	crashes       prometheus.Counter
+	jobsGivenUp   prometheus.Counter
 	waiting       *prometheus.GaugeVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
@@ -73,6 +75,14 @@
 			Name: "jasmineward_elections_won_total",
 			Help: "How often this instance came to lead.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jasmineward_targets_crashed_total",
+			Help: "Targets that crashed under tasks, as seen by this leader.",
+		}),
+		jobsGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "jasmineward_jobs_given_up_total",
+			Help: "Jobs that this leader gave up because targets crash under a task.",
+		}),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -100,7 +110,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -144,6 +144,7 @@
 			}
 			continue
 		}
+		d.markStartSent(key)
 		err := d.callStart(Start{
 			Task:       key.task,
 			Run:        key.run,
--- a/internal/push/outcome.go
+++ b/internal/push/outcome.go
@@ -11,6 +11,7 @@
 	outcomeRefused          outcome = "refused"
 	outcomeOtherIncarnation outcome = "other-lifetime"
 	outcomeUnanswered       outcome = "unanswered"
+	outcomeDown             outcome = "down"
 )
 
 // outcomeOf returns the outcome for the error of a call.
@@ -24,6 +25,8 @@
 		return outcomeRefused
 	case errors.Is(err, ErrOtherIncarnation):
 		return outcomeOtherIncarnation
+	case errors.Is(err, ErrDown):
+		return outcomeDown
 	}
 	return outcomeUnanswered
 }
@@ -39,6 +42,8 @@
 		return ErrRefused
 	case outcomeOtherIncarnation:
 		return ErrOtherIncarnation
+	case outcomeDown:
+		return ErrDown
 	}
 	return ErrNoAnswer
 }
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -92,6 +92,8 @@
 		d.log.WithField("failures", d.failures).Info("target: answers again")
 	}
 	d.failures = 0
+	d.answeredAt = time.Now()
+	d.down = false
 	d.ackedSeq = max(d.ackedSeq, renewal.Acked)
 	d.updateUsableUntil()
 	d.mu.Unlock()
@@ -106,6 +108,7 @@
 		d.reconcile(sent, assignments, list)
 	}
 	d.trackProgress(assignments, list)
+	d.clearSuspects(assignments)
 	d.adjustPace(assignments, list)
 	return nil
 }
@@ -168,10 +171,12 @@
 	// Only one process can have an address, so the process that had it before
 	// has ended.
 	if errors.Is(err, ErrOtherIncarnation) {
-		return d.leader.endIncarnations("another lifetime has its address", d.target.ID) == nil
+		return d.leader.endIncarnations("another lifetime has its address", true, d.target.ID) == nil
 	}
 	d.mu.Lock()
 	d.failures++
+	d.down = errors.Is(err, ErrDown)
+	down := d.down
 	d.updateUsableUntil()
 	failures := d.failures
 	leaseExpired := time.Now().After(d.leaseExpiry)
@@ -187,7 +192,7 @@
 	if !leaseExpired || !heartbeatsStopped && d.leader.scheduler.ledger.RunCount(d.target.ID) == 0 {
 		return false
 	}
-	return d.leader.endIncarnations("lease over", d.target.ID) == nil
+	return d.leader.endIncarnations("lease over", down, d.target.ID) == nil
 }
 
 // fence stops all orders of this leader, because a target has seen the token of a
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -54,6 +54,10 @@
 	state      runState
 	changedAt  time.Time
 	stopSentAt time.Time
+	// startSent is true once a start has been sent, and listedAt is when the target
+	// first listed the run.
+	startSent bool
+	listedAt  time.Time
 	// percent is the last acknowledged pace, and pacing is true while a new one
 	// is being sent.
 	percent  int
@@ -119,6 +123,9 @@
 func (d *driver) reconcileRun(assignment graph.Assignment, key runKey, listed bool, sent time.Time) bool {
 	d.mu.Lock()
 	info := d.runInfo(key)
+	if listed && info.listedAt.IsZero() {
+		info.listedAt = time.Now()
+	}
 	if listed && info.state != runStopped && info.state != runSending {
 		info.state = runStarted
 	}
@@ -156,6 +163,7 @@
 	}
 	if d.inherited[key] {
 		info.state = runUnknown
+		info.startSent = true
 	}
 	d.runs[key] = info
 	return info
--- a/internal/push/suspect_test.go
+++ b/internal/push/suspect_test.go
@@ -71,3 +71,21 @@
 		s.assertNoDoubleRuns()
 	}
 }
+
+// A target that crashes for reasons of its own must not make its tasks be given up, not
+// even tasks that run for long and meet several such crashes.
+func TestTasksOfCrashingTargetsAreNotGivenUp(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	longRunning := tasks(2)
+	longRunning.LongRunning = true
+	s.submit("a", longRunning)
+	for incarnation := int64(1); incarnation < 6; incarnation++ {
+		s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+		// The target has listed the runs for a while.
+		time.Sleep(testTiming().ClearSuspectAfter + 2*testTiming().RenewalWait)
+		s.startDefaultTarget("w0", incarnation+1)
+	}
+	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+	s.c.Assert(s.state("a"), qt.Equals, graph.StateRunning)
+}
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -18,6 +18,9 @@
 	// ErrNoAnswer means that there was no answer: the order may have been
 	// carried out, or may still be.
 	ErrNoAnswer = errors.New("order was not answered")
+	// ErrDown is an ErrNoAnswer that tells why: no process listens at the target's
+	// address.
+	ErrDown = errors.Wrap(ErrNoAnswer, "target's process is down")
 	// ErrFenced means that the target has seen a higher fencing token.
 	ErrFenced = errors.New("fencing token is too old")
 	// ErrOtherIncarnation means that another incarnation of a target has the
--- a/internal/push/timing.go
+++ b/internal/push/timing.go
@@ -21,6 +21,12 @@
 	// StopSettleTime is how long after an order a run that ends because of it
 	// may be in neither list of the target, running or ended.
 	StopSettleTime time.Duration
+	// FreshRunTime is how long a run has to be listed before it is no longer suspected
+	// of a crash of its target.
+	FreshRunTime time.Duration
+	// ClearSuspectAfter is how long a run of a suspect task has to be listed before the
+	// crashes counted against the task are forgotten.
+	ClearSuspectAfter time.Duration
 	// JobRetention is how long ended jobs are kept in the ledger.
 	JobRetention time.Duration
 }
@@ -36,5 +42,8 @@
 		MaxHeartbeatAge: 4 * time.Second,
 		StopSettleTime:  1500 * time.Millisecond,
 		JobRetention:    180 * time.Second,
+
+		FreshRunTime:      5 * time.Second,
+		ClearSuspectAfter: 10 * time.Second,
 	}
 }
