Start no second run of a suspect task beside its first

Cause: a second run is started for each task of a target that does not answer, also for one under which a target has crashed already.

Change: such a task waits until its target's incarnation has ended.

--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -117,11 +117,12 @@
 }
 
 // startSpeculativeRuns has a second run started for each of the target's tasks
-// that allow speculative execution.
+// that allow speculative execution. Tasks under which a target has crashed get none: they
+// may have made this target crash as well.
 func (d *driver) startSpeculativeRuns(why string) {
 	var tasks []graph.TaskRef
 	for key, assignment := range d.ledgerAssignments() {
-		if assignment.Speculative && assignment.Desired && d.markSpeculated(key) {
+		if assignment.Speculative && assignment.Desired && assignment.Crashes == 0 && d.markSpeculated(key) {
 			tasks = append(tasks, assignment.Task)
 		}
 	}
--- a/internal/push/suspect_test.go
+++ b/internal/push/suspect_test.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,16 +15,16 @@
 const crashTime = 300 * time.Millisecond
 
 // restartCrashedTargets makes the task crash each target that starts it. The target comes
-// back under its name after crashTime. It returns a function that returns the number of
+// back under its name after crashTime. It returns a function that returns the times of the
 // crashes so far.
-func (s *fixture) restartCrashedTargets(task graph.TaskRef) func() int {
+func (s *fixture) restartCrashedTargets(task graph.TaskRef) func() []time.Time {
 	var restarts sync.WaitGroup
 	s.c.Cleanup(restarts.Wait)
-	crashes := 0
+	var crashes []time.Time
 	s.fleet.withLock(func() {
 		s.fleet.deadlyTask = task
 		s.fleet.crashed = func(id string) {
-			crashes++
+			crashes = append(crashes, time.Now())
 			next := s.fleet.targets[id].incarnation + 1
 			restarts.Go(func() {
 				time.Sleep(crashTime)
@@ -31,10 +32,10 @@
 			})
 		}
 	})
-	return func() int {
-		count := 0
-		s.fleet.withLock(func() { count = crashes })
-		return count
+	return func() []time.Time {
+		var times []time.Time
+		s.fleet.withLock(func() { times = slices.Clone(crashes) })
+		return times
 	}
 }
 
@@ -67,11 +68,31 @@
 			s.waitCompleted(id)
 		}
 		// After three crashes a task may be started twice more.
-		s.c.Check(crashes() <= 5, qt.IsTrue, qt.Commentf("%d crashes, speculative %v", crashes(), speculative))
+		s.c.Check(len(crashes()) <= 5, qt.IsTrue, qt.Commentf("%d crashes, speculative %v", len(crashes()), speculative))
 		s.assertNoDoubleRuns()
 	}
 }
 
+// A second run of a suspect task beside the first would crash two targets at a time. It
+// is not started before the end of the first one's target has told whether it crashed.
+func TestSuspectTaskGetsNoSecondRun(t *testing.T) {
+	s := newFixture(t, false, "w0", "w1", "w2", "w3")
+	deadly := graph.TaskRef{Job: "deadly"}
+	crashes := s.restartCrashedTargets(deadly)
+	step := tasks(2)
+	step.Speculative = true
+	s.submit(deadly.Job, step)
+	s.eventually(waitTimeout, "deadly job given up", func() bool {
+		return s.state(deadly.Job) == graph.StateFailed
+	})
+	// The first run has a second one beside it, as nothing is known of the task yet.
+	times := crashes()
+	for i := 2; i < len(times); i++ {
+		gap := times[i].Sub(times[i-1])
+		s.c.Check(gap >= crashTime, qt.IsTrue, qt.Commentf("crash %d follows after %s", i+1, gap))
+	}
+}
+
 // A target that crashes for reasons of its own must not make its tasks be given up, not
 // even tasks that run for long and meet several such crashes.
 func TestTasksOfCrashingTargetsAreNotGivenUp(t *testing.T) {
