--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/plan"
+	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
 const waitTimeout = 10 * time.Second
@@ -434,6 +435,38 @@
 	s.assertNoDoubleRuns()
 }
 
+// Starts, stops and paces that get no answer count as failures as well. When they
+// raised the count past the threshold between two renewals, the tasks of a silent
+// target got no second run until its lease expired.
+func TestSpeculativeRunsStartWhenFailuresPassThreshold(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	step := tasks(2)
+	step.Speculative = true
+	s.submit("a", step)
+	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+	// The driver's renewal loop is not started, so that nothing resets the failures.
+	d := newDriver(s.scheduler.currentLeader.Load(), s.scheduler.ledger.Targets()[0])
+	d.leaseExpiry = time.Now().Add(time.Minute)
+	for range speculateAfterFailures {
+		d.recordAnswer(0, ErrNoAnswer)
+	}
+	s.c.Assert(d.handleRenewalFailure(ErrNoAnswer), qt.IsFalse)
+	d.mu.Lock()
+	speculated := 0
+	for _, info := range d.runs {
+		if info.speculated {
+			speculated++
+		}
+	}
+	d.mu.Unlock()
+	s.c.Assert(speculated, qt.Equals, 2)
+	// Further failures must not request the second runs again.
+	before := s.scheduler.host.Replica().Status().Commit
+	s.c.Assert(d.handleRenewalFailure(ErrNoAnswer), qt.IsFalse)
+	s.c.Assert(s.scheduler.host.Replica().Status().Commit, qt.Equals, before)
+}
+
 // When starts are usually answered within milliseconds, an unanswered start is
 // retried soon, not only after the full call timeout.
 func TestUnansweredStartIsRetriedSoon(t *testing.T) {
@@ -466,3 +499,57 @@
 	s.c.Assert(d.lastCallFailed(), qt.IsFalse)
 	s.c.Assert(s.scheduler.ledger.Targets(), qt.HasLen, 1)
 }
+
+// An earlier leader may have slowed a best-effort run down to nothing. Its successor
+// assumed full speed, sent no order, and the run stood still although nothing ran
+// beside it.
+func TestInheritedRunIsPacedAgain(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	step := tasks(1)
+	step.BestEffort = true
+	s.submit("a", step)
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	target := s.scheduler.ledger.Targets()[0]
+	s.fleet.withLock(func() { s.c.Check(s.fleet.paces, qt.HasLen, 0) })
+	// The driver's renewal loop is not started, so that the listings below are all
+	// that it gets.
+	d := newDriver(s.scheduler.currentLeader.Load(), target)
+	d.inherit()
+	assignments := d.ledgerAssignments()
+	var list RunList
+	s.fleet.withLock(func() { list = s.fleet.targets["w0"].list() })
+	paces := func() []Pace {
+		var paces []Pace
+		s.fleet.withLock(func() { paces = append(paces, s.fleet.paces...) })
+		return paces
+	}
+	d.adjustPace(assignments, list)
+	s.eventually(waitTimeout, "the pace is ordered", func() bool { return len(paces()) == 1 })
+	s.c.Check(paces()[0].Percent, qt.Equals, pace.FullSpeed)
+	// One order suffices once it is answered.
+	s.eventually(waitTimeout, "the pace is known", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return !d.runInfo(keyOf(list.Running[0].Task, list.Running[0].Run)).pacing
+	})
+	d.adjustPace(assignments, list)
+	time.Sleep(50 * time.Millisecond)
+	s.c.Check(paces(), qt.HasLen, 1)
+}
+
+// A task that takes 1.6 s for one percent must not be moved while it works on its
+// first. It was moved after 0.7 s without progress, whatever its estimate, and so
+// began anew each time.
+func TestLongTaskIsNotMovedInFirstPercent(t *testing.T) {
+	s := newFixture(t, false, "w0", "w1")
+	s.fleet.runTime = 160 * time.Second
+	step := tasks(1)
+	step.Estimate = graph.Millis(s.fleet.runTime.Milliseconds())
+	s.submit("a", step)
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0")+s.runCount("w1") == 1 })
+	time.Sleep(2500 * time.Millisecond)
+	s.fleet.withLock(func() { s.c.Check(s.fleet.starts, qt.HasLen, 1) })
+	s.c.Check(s.runCount("w0")+s.runCount("w1"), qt.Equals, 1)
+	s.assertNoDoubleRuns()
+}
