--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -1,8 +1,10 @@
 package push
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -66,9 +68,15 @@
 }
 
 // endIncarnations commits that the incarnations have ended, with all their
-// runs, and removes their drivers.
-func (l *leader) endIncarnations(why string, ids ...graph.TargetID) *wire.Fault {
-	result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.EndIncarnations{Targets: ids}})
+// runs, and removes their drivers. A crash is the end of a process that has not
+// announced that it leaves.
+func (l *leader) endIncarnations(why string, crashed bool, ids ...graph.TargetID) *wire.Fault {
+	lost := l.runsOn(ids)
+	ended := &graph.EndIncarnations{Targets: ids}
+	if crashed {
+		ended.Crashes = l.crashesOf(ids)
+	}
+	result, fault := l.propose(l.ctx, graph.Command{Gone: ended})
 	if fault != nil {
 		l.log.WithFields(logrus.Fields{
 			"targets": len(ids),
@@ -78,20 +86,41 @@
 		return fault
 	}
 	l.logFinished(result.Finished)
+	l.logCrashes(ended.Crashes)
 	for _, id := range ids {
 		l.log.WithFields(logrus.Fields{
 			"target": id.ID,
 			"born":   id.Incarnation,
 			"why":    why,
+			"runs":   strings.Join(lost[id], " "),
 		}).Info("target: lifetime over")
 		l.removeDriver(id)
 	}
 	return nil
 }
 
+// runsOn returns the names of the runs that may be active on the targets.
+func (l *leader) runsOn(ids []graph.TargetID) map[graph.TargetID][]string {
+	names := make(map[graph.TargetID][]string, len(ids))
+	for _, id := range ids {
+		for _, assignment := range l.scheduler.ledger.Assignments(id) {
+			names[id] = append(names[id], fmt.Sprintf("%s:%d", assignment.Task.Name(), assignment.Run))
+		}
+		slices.Sort(names[id])
+	}
+	return names
+}
+
 // logFinished logs each job that has ended.
 func (l *leader) logFinished(finished []graph.FinishedJob) {
 	for _, f := range finished {
+		if f.GaveUp != nil {
+			l.scheduler.metrics.jobsGivenUp.Inc()
+			l.log.WithFields(logrus.Fields{
+				"job":  f.Job,
+				"task": f.GaveUp.Name(),
+			}).Warn("sched: job given up, targets crash under its task")
+		}
 		l.log.WithFields(logrus.Fields{
 			"job":   f.Job,
 			"state": f.State.String(),
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -156,6 +156,7 @@
 			}
 			continue
 		}
+		d.markStartSent(key)
 		err := d.callStart(Start{
 			Task:       key.task,
 			Run:        key.run,
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -57,6 +57,10 @@
 	state      runState
 	changedAt  time.Time
 	stopSentAt time.Time
+	// startSent is true once a start has been sent, and listedAt is when the target
+	// first listed the run.
+	startSent bool
+	listedAt  time.Time
 	// percent is the last acknowledged pace or unknownPercent, and pacing is true
 	// while a new one is being sent.
 	percent  int
@@ -122,6 +126,9 @@
 func (d *driver) reconcileRun(assignment graph.Assignment, key runKey, listed bool, sent time.Time) bool {
 	d.mu.Lock()
 	info := d.runInfo(key)
+	if listed && info.listedAt.IsZero() {
+		info.listedAt = time.Now()
+	}
 	if listed && info.state != runStopped && info.state != runSending {
 		info.state = runStarted
 	}
@@ -159,6 +166,7 @@
 	}
 	if d.inherited[key] {
 		info.state = runUnknown
+		info.startSent = true
 		info.percent = unknownPercent
 	}
 	d.runs[key] = info
--- /dev/null
+++ b/internal/push/suspect_test.go
@@ -0,0 +1,112 @@
+package push
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+// crashTime is how long a target is down after a crash.
+const crashTime = 300 * time.Millisecond
+
+// restartCrashedTargets makes the task crash each target that starts it. The target comes
+// back under its name after crashTime. It returns a function that returns the times of the
+// crashes so far.
+func (s *fixture) restartCrashedTargets(task graph.TaskRef) func() []time.Time {
+	var restarts sync.WaitGroup
+	s.c.Cleanup(restarts.Wait)
+	var crashes []time.Time
+	s.fleet.withLock(func() {
+		s.fleet.deadlyTask = task
+		s.fleet.crashed = func(id string) {
+			crashes = append(crashes, time.Now())
+			next := s.fleet.targets[id].incarnation + 1
+			restarts.Go(func() {
+				time.Sleep(crashTime)
+				s.startDefaultTarget(id, next)
+			})
+		}
+	})
+	return func() []time.Time {
+		var times []time.Time
+		s.fleet.withLock(func() { times = slices.Clone(crashes) })
+		return times
+	}
+}
+
+// A task that crashes each target that starts it must be given up after a few crashes:
+// it takes the other tasks of each target with it, and was started for ever. The tasks
+// that ran beside it are not to blame and complete.
+func TestTaskThatCrashesTargetsIsGivenUp(t *testing.T) {
+	for _, speculative := range []bool{false, true} {
+		s := newFixture(t, false, "w0", "w1", "w2", "w3", "w4", "w5")
+		s.fleet.runTime = 200 * time.Millisecond
+		deadly := graph.TaskRef{
+			Job:   "deadly",
+			Index: 1,
+		}
+		crashes := s.restartCrashedTargets(deadly)
+		step := tasks(4)
+		step.Speculative = speculative
+		others := []graph.JobID{"a", "b", "c", "d"}
+		for _, id := range others[:2] {
+			s.submit(id, step)
+		}
+		s.submit(deadly.Job, step)
+		for _, id := range others[2:] {
+			s.submit(id, step)
+		}
+		s.eventually(waitTimeout, "deadly job given up", func() bool {
+			return s.state(deadly.Job) == graph.StateFailed
+		})
+		for _, id := range others {
+			s.waitCompleted(id)
+		}
+		// After three crashes a task may be started twice more.
+		s.c.Check(len(crashes()) <= 5, qt.IsTrue, qt.Commentf("%d crashes, speculative %v", len(crashes()), speculative))
+		s.assertNoDoubleRuns()
+	}
+}
+
+// A second run of a suspect task beside the first would crash two targets at a time. It
+// is not started before the end of the first one's target has told whether it crashed.
+func TestSuspectTaskGetsNoSecondRun(t *testing.T) {
+	s := newFixture(t, false, "w0", "w1", "w2", "w3")
+	deadly := graph.TaskRef{Job: "deadly"}
+	crashes := s.restartCrashedTargets(deadly)
+	step := tasks(2)
+	step.Speculative = true
+	s.submit(deadly.Job, step)
+	s.eventually(waitTimeout, "deadly job given up", func() bool {
+		return s.state(deadly.Job) == graph.StateFailed
+	})
+	// The first run has a second one beside it, as nothing is known of the task yet.
+	times := crashes()
+	for i := 2; i < len(times); i++ {
+		gap := times[i].Sub(times[i-1])
+		s.c.Check(gap >= crashTime, qt.IsTrue, qt.Commentf("crash %d follows after %s", i+1, gap))
+	}
+}
+
+// A target that crashes for reasons of its own must not make its tasks be given up, not
+// even tasks that run for long and meet several such crashes.
+func TestTasksOfCrashingTargetsAreNotGivenUp(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	longRunning := tasks(2)
+	longRunning.LongRunning = true
+	s.submit("a", longRunning)
+	for incarnation := int64(1); incarnation < 6; incarnation++ {
+		s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+		// The target has listed the runs for a while.
+		time.Sleep(testTiming().ClearSuspectAfter + 2*testTiming().RenewalWait)
+		s.startDefaultTarget("w0", incarnation+1)
+	}
+	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
+	s.c.Assert(s.state("a"), qt.Equals, graph.StateRunning)
+}
