Look at the ledger again once an announcement is claimed

Operators saw: now and then a second command in the log for one announcement of a target; no rule depends on it.

Cause: a heartbeat reads the ledger and then claims the announcement. If another one commits it between the two, the claim succeeds and it is committed again. The test is right and stays as it is.

Ruled out: a commit of the group's own.

Change: the one that claims an announcement reads the ledger again first.

--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -138,7 +138,7 @@
 	for !ok || announcementChanged(&known, &h.Announce) {
 		done, first := l.claimAnnouncement(id)
 		if first {
-			fault := l.announce(ctx, h)
+			fault := l.announceOnce(ctx, h)
 			l.releaseAnnouncement(id)
 			if fault != nil {
 				return fault
@@ -160,6 +160,16 @@
 	return nil
 }
 
+// announceOnce commits the announcement, unless another heartbeat has done so between
+// the reading of the ledger and the claim.
+func (l *leader) announceOnce(ctx context.Context, h *Heartbeat) *wire.Fault {
+	known, ok := l.scheduler.ledger.Target(h.Announce.ID)
+	if ok && !announcementChanged(&known, &h.Announce) {
+		return nil
+	}
+	return l.announce(ctx, h)
+}
+
 // claimAnnouncement returns true if no announcement of the incarnation is being
 // committed, and otherwise a channel that is closed when that one is done.
 func (l *leader) claimAnnouncement(id graph.TargetID) (done <-chan struct{}, first bool) {
