--- a/pkg/raft/replica_test.go
+++ b/pkg/raft/replica_test.go
@@ -47,6 +47,8 @@
 
 // memoryTransport delivers messages directly to the other replicas of a test.
 type memoryTransport struct {
+	recorder
+
 	mu       sync.Mutex
 	replicas map[raft.ID]*raft.Replica
 }
@@ -55,6 +57,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range messages {
+		t.record(m)
 		if r := t.replicas[m.To]; r != nil {
 			r.Receive([]raft.Message{m})
 		}
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -21,6 +21,10 @@
 		case <-r.wake:
 		}
 		r.drainInputs()
+		// A failed step may have left messages that acknowledge what was not saved.
+		if r.ctx.Err() != nil {
+			return
+		}
 		if err := r.process(); err != nil {
 			r.fail(err)
 			return
