--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -105,6 +105,10 @@
 	// pendingSnapshot is the index of the snapshot being sent, or zero.
 	pendingSnapshot uint64
 	snapshotSentAt  time.Duration
+	// snapshotDelivered is set once the replica has received the pending snapshot,
+	// at snapshotDeliveredAt.
+	snapshotDelivered   bool
+	snapshotDeliveredAt time.Duration
 	// ackedSendTime is the time at which the latest acknowledged message was sent.
 	ackedSendTime time.Duration
 	// lastReplyAt is the time at which the latest reply was received.
--- a/pkg/raft/disk_full_test.go
+++ b/pkg/raft/disk_full_test.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// A voter that received a snapshot, had no room for it and was started again needs
+// the snapshot once more. The leader waited 30 s for the first one, and meanwhile
+// sent the voter no entries but heartbeats: with the other follower stopped, the
+// leader kept its lease and committed nothing.
+func TestUninstalledSnapshotIsSentAgain(t *testing.T) {
+	g := newDiskGroup(t)
+	g.commit(1, 10*time.Second)
+	first, second := g.followers()
+	g.failOnSnapshot(first)
+	g.stop(first)
+	g.start(first, false)
+	time.Sleep(500 * time.Millisecond)
+	g.stop(second)
+	g.commit(1, 5*time.Second)
+}
+
 // recorder records the messages that one replica sends.
 type recorder struct {
 	mu       sync.Mutex
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -169,6 +169,7 @@
 	meta := c.snapshot
 	pr.pendingSnapshot = meta.Index
 	pr.snapshotSentAt = c.now
+	pr.snapshotDelivered = false
 	c.sendBeforeSync(Message{
 		Kind:     MessageSnapshot,
 		To:       to,
@@ -208,6 +209,27 @@
 	}
 }
 
+// SnapshotDelivered records that the replica has received the snapshot message m. It
+// handles messages in the order of their arrival, so its reply to a later one shows
+// whether it has installed the snapshot.
+func (c *Core) SnapshotDelivered(m Message) {
+	pr := c.progress[m.To]
+	if pr == nil || m.Term != c.term || m.SentAt != pr.snapshotSentAt {
+		return
+	}
+	pr.snapshotDelivered = true
+	pr.snapshotDeliveredAt = c.now
+}
+
+// checkSnapshotInstalled sends the pending snapshot again if the reply m shows that
+// the replica has received but not installed it, because it has failed or was
+// restarted in between.
+func (c *Core) checkSnapshotInstalled(m Message, pr *progress) {
+	if pr.pendingSnapshot != 0 && pr.snapshotDelivered && m.SentAt > pr.snapshotDeliveredAt {
+		c.SnapshotFailed(m.From)
+	}
+}
+
 func (c *Core) onAppendReply(m Message) {
 	pr := c.progress[m.From]
 	if c.role != RoleLeader || m.Term != c.term || pr == nil {
@@ -216,6 +238,7 @@
 	pr.ackedSendTime = max(pr.ackedSendTime, m.SentAt)
 	pr.lastReplyAt = c.now
 	if m.Reject {
+		c.checkSnapshotInstalled(m, pr)
 		c.onRejected(m, pr)
 		return
 	}
@@ -227,6 +250,7 @@
 		pr.pendingSnapshot = 0
 		pr.probing = true
 	}
+	c.checkSnapshotInstalled(m, pr)
 	if pr.probing && pr.pendingSnapshot == 0 {
 		pr.probing = false
 		pr.next = pr.match + 1
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -186,7 +186,9 @@
 	}
 	if err != nil {
 		r.runOnLoop(func() { r.core.SnapshotFailed(m.To) })
+		return
 	}
+	r.runOnLoop(func() { r.core.SnapshotDelivered(m) })
 }
 
 func (r *Replica) enqueueApply(item applyItem) {
--- a/pkg/raft/simulation_test.go
+++ b/pkg/raft/simulation_test.go
@@ -443,11 +443,20 @@
 			later = append(later, d)
 		default:
 			r.core.Step(d.message, r.clock(s.now))
+			s.confirmSnapshot(d.message)
 		}
 	}
 	s.delayed = append(later, s.delayed...)
 }
 
+// confirmSnapshot tells the sender of a snapshot that it has been delivered.
+func (s *simGroup) confirmSnapshot(m Message) {
+	sender := s.replicas[m.From]
+	if m.Kind == MessageSnapshot && sender != nil && s.alive(sender) {
+		sender.core.SnapshotDelivered(m)
+	}
+}
+
 func (s *simGroup) send(messages []Message) {
 	for _, m := range messages {
 		if s.blockedLinks[[2]ID{m.From, m.To}] || s.choices.pick(100) < s.lossPercent {
