--- a/pkg/raft/storage.go
+++ b/pkg/raft/storage.go
@@ -87,9 +87,27 @@
 	if s.persisted.Entries, err = entriesAfter(meta, entries); err != nil {
 		return nil, err
 	}
+	if len(s.persisted.Entries) > 0 || endsAt(meta, entries) {
+		return s, nil
+	}
+	// The snapshot was installed and the log before it is still stored. It must not
+	// stay in front of the entries that follow the snapshot.
+	if err := s.ReplaceLog(s.persisted.HardState, nil); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
+// endsAt reports whether the stored entries, if there are any, end with the last entry
+// of the snapshot.
+func endsAt(meta SnapshotMeta, entries []Entry) bool {
+	if len(entries) == 0 {
+		return true
+	}
+	last := entries[len(entries)-1]
+	return last.Index == meta.Index && last.Term == meta.Term
+}
+
 // replay applies a record of the write-ahead log to the persistent state and to the
 // entries read so far.
 func (s *DiskStorage) replay(record []byte, entries *[]Entry) error {
--- a/pkg/raft/storage_test.go
+++ b/pkg/raft/storage_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 
 	"github.com/jasmineward/jasmineward/pkg/raft"
 	"github.com/jasmineward/jasmineward/pkg/walog"
@@ -159,3 +160,69 @@
 	c.Assert(persisted.Entries, qt.HasLen, len(entries))
 	c.Assert(disk.Close(), qt.IsNil)
 }
+
+// errFull is the error of a disk without room for another segment.
+var errFull = errors.New("no space left on device")
+
+// installWithoutCompaction writes a log of entries 1 to 20 in term 1 and saves a
+// snapshot that replaces it, but leaves the log as it is because the disk has no
+// room for a new segment.
+func installWithoutCompaction(c *qt.C, dir string, meta raft.SnapshotMeta) {
+	full := false
+	disk, err := raft.OpenDisk(dir, walog.WithCreate(func(path string) (walog.File, error) {
+		if full {
+			return nil, errFull
+		}
+		return os.Create(path)
+	}))
+	c.Assert(err, qt.IsNil)
+	c.Assert(disk.Persist(raft.HardState{Term: 1}, entriesFrom(1, 20, 1)), qt.IsNil)
+	c.Assert(disk.Persist(raft.HardState{Term: meta.Term}, nil), qt.IsNil)
+	c.Assert(disk.SaveSnapshot(meta, []byte("state")), qt.IsNil)
+	full = true
+	c.Assert(disk.ReplaceLog(raft.HardState{Term: meta.Term}, nil), qt.ErrorIs, raft.ErrStorage)
+	_ = disk.Close()
+}
+
+// TestInstallInterruptedBeforeCompaction checks that entries are kept that follow an
+// installed snapshot after the log before it could not be compacted: the disk was
+// full, or the process ended between the two. The stored log then still holds the
+// entries from before the snapshot. With a gap between them and the new entries, the
+// second start was refused for good; where they conflict with the snapshot, it lost
+// the new entries, which had been acknowledged.
+func TestInstallInterruptedBeforeCompaction(t *testing.T) {
+	for name, meta := range map[string]raft.SnapshotMeta{
+		"gap": {
+			Index: 100,
+			Term:  2,
+		},
+		"conflict": {
+			Index: 15,
+			Term:  2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			dir := t.TempDir()
+			installWithoutCompaction(c, dir, meta)
+			disk, err := raft.OpenDisk(dir)
+			c.Assert(err, qt.IsNil)
+			persisted, _, err := disk.Load()
+			c.Assert(err, qt.IsNil)
+			c.Assert(persisted.Entries, qt.HasLen, 0)
+			added := entriesFrom(meta.Index+1, meta.Index+3, 2)
+			c.Assert(disk.Persist(raft.HardState{Term: 2}, added), qt.IsNil)
+			c.Assert(disk.Close(), qt.IsNil)
+			for range 2 {
+				disk, err = raft.OpenDisk(dir)
+				c.Assert(err, qt.IsNil)
+				persisted, state, err := disk.Load()
+				c.Assert(err, qt.IsNil)
+				c.Check(string(state), qt.Equals, "state")
+				c.Check(persisted.HardState.Term, qt.Equals, uint64(2))
+				c.Check(persisted.Entries, qt.DeepEquals, added)
+				c.Assert(disk.Close(), qt.IsNil)
+			}
+		})
+	}
+}
