Take no failed replica for the leader

What callers see: changes and work that reach the machine whose disk is full are refused (no leader answered in time) until the disk has room again, though another leads; now and then so are those sent elsewhere. What operators see: router: leader found, with the machine's own address, every 400 ms beside group: disk takes no writes. Cause: a replica that failed kept the status that it had published last. For up to 30 s the process went on to take itself for the leader, served the calls made there from a log that takes nothing, and named itself to the instances that search for the leader. Ruled out: the leader's lease, which ends by itself after 0.36 s, so nothing was ordered; elections, as the failed replica sends no heartbeats (the next leader was there after 0.5 s). Change: a replica that has stopped is a follower without a leader and holds no lease, and its state machine is told that the leadership is lost. Calls made there go to the new leader. The disk of a test group can be full.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -16,6 +16,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/peer"
 	"github.com/jasmineward/jasmineward/pkg/raft"
+	"github.com/jasmineward/jasmineward/pkg/walog"
 )
 
 // Config configures a Host.
@@ -56,10 +57,14 @@
 	cfg          Config
 	log          *logrus.Logger
 	stateMachine raft.StateMachine
-	dialer       *peer.Dialer
-	server       *peer.Server
-	raftServer   *peer.RaftServer
-	router       *router
+	// logOptions are the options of the log, and probeDisk checks that the folder takes
+	// writes. Tests replace them to simulate a full disk.
+	logOptions []walog.Option
+	probeDisk  func(dir string) error
+	dialer     *peer.Dialer
+	server     *peer.Server
+	raftServer *peer.RaftServer
+	router     *router
 
 	mu        sync.Mutex
 	identity  Identity
@@ -89,6 +94,7 @@
 		cfg:          cfg,
 		log:          log,
 		stateMachine: machine,
+		probeDisk:    walog.Probe,
 		dialer:       peer.NewDialer(traffic),
 		server:       server,
 		helloAt:      map[string]time.Time{},
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -15,6 +15,7 @@
 	"github.com/jasmineward/jasmineward/internal/local"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/raft"
+	"github.com/jasmineward/jasmineward/pkg/walog"
 )
 
 // wordLog is a state machine that keeps all applied commands in order.
@@ -76,6 +77,7 @@
 	cfg   Config
 	host  *Host
 	words *wordLog
+	disk  testDisk
 }
 
 type testGroup struct {
@@ -119,6 +121,9 @@
 	m.words = &wordLog{}
 	host, err := NewHost(m.cfg, m.words, log)
 	g.c.Assert(err, qt.IsNil)
+	host.logOptions = []walog.Option{walog.WithCreate(m.disk.Create)}
+	host.probeDisk = m.disk.Probe
+	g.c.Assert(host.Server().RegisterConcurrent(leaderService, &leaderRPC{host: host}), qt.IsNil)
 	g.c.Assert(host.Run(), qt.IsNil)
 	m.host = host
 }
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -97,12 +97,12 @@
 			return errors.Wrap(err, "clear log folder")
 		}
 	}
-	storage, err := raft.OpenDisk(dir)
+	storage, err := raft.OpenDisk(dir, h.logOptions...)
 	if err != nil {
 		return err
 	}
 	if initial != nil {
-		if storage, err = BootstrapStorage(dir, storage, *initial); err != nil {
+		if storage, err = BootstrapStorage(dir, storage, *initial, h.logOptions...); err != nil {
 			return err
 		}
 	}
@@ -166,7 +166,7 @@
 // BootstrapStorage initializes the storage in the directory for an initial
 // replica of a new group with the given members, closes it and returns it
 // reopened.
-func BootstrapStorage(dir string, storage *raft.DiskStorage, members raft.Membership) (*raft.DiskStorage, error) {
+func BootstrapStorage(dir string, storage *raft.DiskStorage, members raft.Membership, opts ...walog.Option) (*raft.DiskStorage, error) {
 	initial := raft.BootstrapGroup(members)
 	if err := storage.SaveSnapshot(initial.Snapshot, nil); err != nil {
 		return nil, err
@@ -177,7 +177,7 @@
 	if err := storage.Close(); err != nil {
 		return nil, err
 	}
-	return raft.OpenDisk(dir)
+	return raft.OpenDisk(dir, opts...)
 }
 
 // bootClock returns a monotonic clock that also advances while the machine is
@@ -203,7 +203,7 @@
 	case <-replica.Done():
 		if !errors.Is(replica.Err(), raft.ErrStopped) {
 			h.log.WithError(replica.Err()).Error("group: replica failed")
-			probe := func() error { return walog.Probe(h.cfg.DataFolder) }
+			probe := func() error { return h.probeDisk(h.cfg.DataFolder) }
 			waitForDisk(h.ctx, probe, diskProbeInterval, diskWaitLimit, h.log)
 			close(h.failed)
 		}
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -45,7 +45,8 @@
 	// BecameLeader reports that this replica has become the leader of the term
 	// and that all entries committed in earlier terms have been applied.
 	BecameLeader(term uint64)
-	// LostLeadership reports that this replica is no longer the leader.
+	// LostLeadership reports that this replica is no longer the leader, or that it
+	// has stopped while it was.
 	LostLeadership()
 }
 
@@ -205,11 +206,16 @@
 	return r.ctx.Done()
 }
 
+// fail stops the replica. It takes part in no election and hears of none from then
+// on, so it no longer names a leader.
 func (r *Replica) fail(err error) {
 	r.mu.Lock()
 	if r.stopErr == nil {
 		r.stopErr = err
 	}
+	r.status.Role = RoleFollower
+	r.status.Leader = 0
+	r.leaseUntil = 0
 	r.mu.Unlock()
 	r.cancel()
 }
@@ -338,7 +344,8 @@
 	}
 }
 
-// Status returns the most recently published status.
+// Status returns the most recently published status. A replica that has stopped is
+// a follower without a leader.
 func (r *Replica) Status() Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -154,6 +154,9 @@
 	leaseUntil := r.core.LeaseUntil()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stopErr != nil {
+		return
+	}
 	r.status = status
 	r.leaseUntil = leaseUntil
 }
@@ -203,6 +206,11 @@
 func (r *Replica) applyLoop(lastSnapshot uint64) {
 	defer r.wg.Done()
 	leading := false
+	defer func() {
+		if leading {
+			r.machine.LostLeadership()
+		}
+	}()
 	for item := range r.applyCh {
 		if item.install != nil {
 			if err := r.machine.Restore(item.state); err != nil {
