Let a removed voter that comes back join again

Cause: an instance looked into its own copy of the membership to see whether it had joined. The entry that removed it was never sent to it, as it was no member any more, so its copy still named it. Ruled out: the voter plan, which promotes a learner once there is one. Change: a replica that hears from no leader counts as not joined, and asks the leader. A replica that has failed does not ask.

--- a/internal/group/full_disk_test.go
+++ b/internal/group/full_disk_test.go
@@ -92,6 +92,17 @@
 	return name
 }
 
+// waitForFailure waits until the member's process would end because its replica has
+// failed.
+func (g *testGroup) waitForFailure(m *testMember) {
+	g.c.Helper()
+	select {
+	case <-m.host.Failed():
+	case <-time.After(10 * time.Second):
+		g.c.Fatal("the replica has not failed")
+	}
+}
+
 // A leader whose disk is full loses the leadership to another, but its process goes on
 // until the disk has room again. It must not take itself for the leader meanwhile: it
 // failed all calls that callers made there, and told the other instances to send
@@ -124,3 +135,49 @@
 		time.Sleep(pingInterval / 2)
 	}
 }
+
+// Disks that are full for some seconds one after another, each longer than a voter may
+// be unresponsive, must leave a group that commits changes with any one member
+// stopped, and a log on every disk that can be read again.
+func TestDisksFullOneAfterAnother(t *testing.T) {
+	g := newTestGroup(t, 3, 1)
+	for _, m := range g.members {
+		m.cfg.Voters = 3
+		m.cfg.ReplaceVoterAfter = time.Second
+		g.start(m)
+	}
+	g.propose("first")
+	g.eventually("all members have joined", func() bool { return g.joined() == len(g.members) })
+	for _, m := range g.members {
+		m.disk.full.Store(true)
+		g.propose("full " + m.cfg.Name)
+		time.Sleep(2 * time.Second)
+		m.disk.full.Store(false)
+		g.waitForFailure(m)
+		m.stop()
+		g.start(m)
+		g.eventually(m.cfg.Name+" is in the membership", func() bool { return g.joined() == len(g.members) })
+		g.eventually(m.cfg.Name+" has caught up", func() bool { return m.words.has("full " + m.cfg.Name) })
+	}
+	for _, m := range g.members {
+		m.stop()
+		g.propose("without " + m.cfg.Name)
+		g.start(m)
+		g.eventually(m.cfg.Name+" has caught up", func() bool { return m.words.has("without " + m.cfg.Name) })
+	}
+}
+
+// joined counts the members that the leader has in its membership, with their names.
+func (g *testGroup) joined() int {
+	leader := g.leader()
+	if leader == nil {
+		return 0
+	}
+	count := 0
+	for _, member := range leader.host.Replica().Status().Membership.Members {
+		if member.Name != member.Address {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -197,7 +197,8 @@
 
 // ensureJoined reports whether the membership contains this replica with its
 // current name, address and failure domain. If not, it sends a Join call to the
-// leader.
+// leader. A replica that hears from no leader may have been removed while it was
+// away: its own copy of the membership then still contains it.
 func (h *Host) ensureJoined() (bool, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, joinTimeout)
 	defer cancel()
@@ -206,11 +207,15 @@
 			return false, err
 		}
 	}
-	status := h.replica.Load().Status()
+	replica := h.replica.Load()
+	if err := replica.Err(); err != nil {
+		return false, err
+	}
+	status := replica.Status()
 	self := h.selfMember(status.ID)
 	if current, ok := status.Membership.Find(status.ID); ok {
 		self.Voter = current.Voter
-		if current == self {
+		if current == self && status.Leader != 0 {
 			return true, nil
 		}
 	}
