--- a/internal/group/full_disk_test.go
+++ b/internal/group/full_disk_test.go
@@ -181,3 +181,30 @@
 	}
 	return count
 }
+
+// A process that is started again and again while its disk is full must find its log
+// intact once there is room: each start may leave an empty segment behind.
+func TestStartsOnFullDiskKeepLog(t *testing.T) {
+	g := newTestGroup(t, 3, 0)
+	for _, m := range g.members {
+		g.start(m)
+	}
+	g.propose("before")
+	full := g.members[0]
+	g.eventually("the member has the entry", func() bool { return full.words.has("before") })
+	full.disk.full.Store(true)
+	g.propose("meanwhile")
+	full.stop()
+	for range 5 {
+		host, err := NewHost(full.cfg, &wordLog{}, newDiscardLogger())
+		g.c.Assert(err, qt.IsNil)
+		host.logOptions = []walog.Option{walog.WithCreate(full.disk.Create)}
+		g.c.Assert(host.Run(), qt.ErrorMatches, ".*no space left on device.*")
+		host.Stop()
+	}
+	full.disk.full.Store(false)
+	g.start(full)
+	g.eventually("the member has both entries", func() bool {
+		return full.words.has("before") && full.words.has("meanwhile")
+	})
+}
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -115,11 +115,16 @@
 	return g
 }
 
-func (g *testGroup) start(m *testMember) {
+// newDiscardLogger returns a logger without output.
+func newDiscardLogger() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func (g *testGroup) start(m *testMember) {
 	m.words = &wordLog{}
-	host, err := NewHost(m.cfg, m.words, log)
+	host, err := NewHost(m.cfg, m.words, newDiscardLogger())
 	g.c.Assert(err, qt.IsNil)
 	host.logOptions = []walog.Option{walog.WithCreate(m.disk.Create)}
 	host.probeDisk = m.disk.Probe
