--- a/pkg/raft/catchup_test.go
+++ b/pkg/raft/catchup_test.go
@@ -157,7 +157,7 @@
 	c := qt.New(t)
 	core := newThreeVoterCore()
 	now := electCore(c, core, time.Millisecond)
-	snapshots := 0
+	var snapshots []Message
 	// lead lets time pass, in which replica 2 accepts all appends and replica 3, whose
 	// log is empty, rejects them.
 	lead := func(duration time.Duration) {
@@ -170,7 +170,7 @@
 			core.Advance(ready, now)
 			for _, m := range append(ready.MessagesBeforeSync, ready.MessagesAfterSync...) {
 				if m.Kind == MessageSnapshot {
-					snapshots++
+					snapshots = append(snapshots, m)
 				}
 				if m.Kind != MessageAppend {
 					continue
@@ -196,12 +196,12 @@
 	c.Assert(ok, qt.IsTrue)
 	core.Compact(meta, 0)
 	lead(testElectionTimeout)
-	c.Assert(snapshots, qt.Equals, 1)
+	c.Assert(snapshots, qt.HasLen, 1)
 
 	// Rejections tell nothing while the snapshot is on its way.
 	lead(10 * testElectionTimeout)
-	c.Assert(snapshots, qt.Equals, 1)
-	core.SnapshotDelivered(3)
+	c.Assert(snapshots, qt.HasLen, 1)
+	core.SnapshotDelivered(snapshots[0])
 	lead(testElectionTimeout)
-	c.Assert(snapshots >= 2, qt.IsTrue, qt.Commentf("%d snapshots", snapshots))
+	c.Assert(snapshots, qt.HasLen, 2)
 }
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -105,7 +105,7 @@
 	// pendingSnapshot is the index of the snapshot being sent, or zero.
 	pendingSnapshot uint64
 	snapshotSentAt  time.Duration
-	// snapshotDelivered is set once the snapshot being sent has arrived, which it did
+	// snapshotDelivered is set once the replica has received the pending snapshot,
 	// at snapshotDeliveredAt.
 	snapshotDelivered   bool
 	snapshotDeliveredAt time.Duration
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -203,16 +203,6 @@
 	c.sendAppend(to, pr, pr.next-1, false)
 }
 
-// SnapshotDelivered records that the snapshot sent to the replica has arrived there. The
-// replica installs it before it handles later messages, so if it rejects one of these
-// it has restarted without the snapshot.
-func (c *Core) SnapshotDelivered(to ID) {
-	if pr := c.progress[to]; pr != nil && pr.pendingSnapshot != 0 {
-		pr.snapshotDelivered = true
-		pr.snapshotDeliveredAt = c.now
-	}
-}
-
 // SnapshotFailed records that the snapshot sent to the replica could not be
 // delivered.
 func (c *Core) SnapshotFailed(to ID) {
@@ -224,6 +214,27 @@
 	}
 }
 
+// SnapshotDelivered records that the replica has received the snapshot message m. It
+// handles messages in the order of their arrival, so its reply to a later one shows
+// whether it has installed the snapshot.
+func (c *Core) SnapshotDelivered(m Message) {
+	pr := c.progress[m.To]
+	if pr == nil || m.Term != c.term || m.SentAt != pr.snapshotSentAt {
+		return
+	}
+	pr.snapshotDelivered = true
+	pr.snapshotDeliveredAt = c.now
+}
+
+// checkSnapshotInstalled sends the pending snapshot again if the reply m shows that
+// the replica has received but not installed it, because it has failed or was
+// restarted in between.
+func (c *Core) checkSnapshotInstalled(m Message, pr *progress) {
+	if pr.pendingSnapshot != 0 && pr.snapshotDelivered && m.SentAt > pr.snapshotDeliveredAt {
+		c.SnapshotFailed(m.From)
+	}
+}
+
 func (c *Core) onAppendReply(m Message) {
 	pr := c.progress[m.From]
 	if c.role != RoleLeader || m.Term != c.term || pr == nil {
@@ -232,6 +243,7 @@
 	pr.ackedSendTime = max(pr.ackedSendTime, m.SentAt)
 	pr.lastReplyAt = c.now
 	if m.Reject {
+		c.checkSnapshotInstalled(m, pr)
 		c.onRejected(m, pr)
 		return
 	}
@@ -247,6 +259,7 @@
 		pr.pendingSnapshot = 0
 		pr.probing = true
 	}
+	c.checkSnapshotInstalled(m, pr)
 	if pr.probing && pr.pendingSnapshot == 0 {
 		pr.probing = false
 		pr.next = pr.match + 1
@@ -259,9 +272,6 @@
 }
 
 func (c *Core) onRejected(m Message, pr *progress) {
-	if pr.snapshotDelivered && m.SentAt > pr.snapshotDeliveredAt {
-		c.SnapshotFailed(m.From)
-	}
 	if m.Index <= pr.match || pr.pendingSnapshot != 0 {
 		return
 	}
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -21,6 +21,10 @@
 		case <-r.wake:
 		}
 		r.drainInputs()
+		// A failed step may have left messages that acknowledge what was not saved.
+		if r.ctx.Err() != nil {
+			return
+		}
 		if err := r.process(); err != nil {
 			r.fail(err)
 			return
@@ -152,6 +156,9 @@
 	leaseUntil := r.core.LeaseUntil()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stopErr != nil {
+		return
+	}
 	r.status = status
 	r.leaseUntil = leaseUntil
 }
@@ -186,7 +193,7 @@
 		r.runOnLoop(func() { r.core.SnapshotFailed(m.To) })
 		return
 	}
-	r.runOnLoop(func() { r.core.SnapshotDelivered(m.To) })
+	r.runOnLoop(func() { r.core.SnapshotDelivered(m) })
 }
 
 func (r *Replica) enqueueApply(item applyItem) {
@@ -201,6 +208,11 @@
 func (r *Replica) applyLoop(lastSnapshot uint64) {
 	defer r.wg.Done()
 	leading := false
+	defer func() {
+		if leading {
+			r.machine.LostLeadership()
+		}
+	}()
 	for item := range r.applyCh {
 		if item.install != nil {
 			if err := r.machine.Restore(item.state); err != nil {
