--- a/pkg/raft/catchup_test.go
+++ b/pkg/raft/catchup_test.go
@@ -198,6 +198,11 @@
 	lead(testElectionTimeout)
 	c.Assert(snapshots, qt.HasLen, 1)
 
+	// The end of an earlier send tells nothing of this one.
+	earlier := snapshots[0]
+	earlier.SentAt--
+	core.SnapshotFailed(earlier)
+	core.SnapshotDelivered(earlier)
 	// Rejections tell nothing while the snapshot is on its way.
 	lead(10 * testElectionTimeout)
 	c.Assert(snapshots, qt.HasLen, 1)
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -191,7 +191,7 @@
 	pr.probeSent = false
 	if pr.pendingSnapshot != 0 {
 		if c.now-pr.snapshotSentAt > snapshotTimeout {
-			c.SnapshotFailed(to)
+			c.dropSnapshot(pr)
 		}
 		c.sendAppend(to, pr, c.log.base.Index, false)
 		return
@@ -203,27 +203,40 @@
 	c.sendAppend(to, pr, pr.next-1, false)
 }
 
-// SnapshotFailed records that the snapshot sent to the replica could not be
-// delivered.
-func (c *Core) SnapshotFailed(to ID) {
-	if pr := c.progress[to]; pr != nil && pr.pendingSnapshot != 0 {
-		pr.pendingSnapshot = 0
-		pr.probing = true
-		pr.probeSent = false
-		pr.next = c.log.firstIndex()
+// SnapshotFailed records that the snapshot message m could not be delivered.
+func (c *Core) SnapshotFailed(m Message) {
+	if pr := c.snapshotProgress(m); pr != nil {
+		c.dropSnapshot(pr)
+	}
+}
+
+// snapshotProgress returns the progress of the replica to which the snapshot message m
+// is being sent. It returns nil if another snapshot is being sent by now, or none.
+func (c *Core) snapshotProgress(m Message) *progress {
+	pr := c.progress[m.To]
+	if pr == nil || pr.pendingSnapshot == 0 || m.Term != c.term || m.SentAt != pr.snapshotSentAt {
+		return nil
 	}
+	return pr
+}
+
+// dropSnapshot gives up the snapshot that is being sent, so that another one is sent if
+// the replica still needs it.
+func (c *Core) dropSnapshot(pr *progress) {
+	pr.pendingSnapshot = 0
+	pr.probing = true
+	pr.probeSent = false
+	pr.next = c.log.firstIndex()
 }
 
 // SnapshotDelivered records that the replica has received the snapshot message m. It
 // handles messages in the order of their arrival, so its reply to a later one shows
 // whether it has installed the snapshot.
 func (c *Core) SnapshotDelivered(m Message) {
-	pr := c.progress[m.To]
-	if pr == nil || m.Term != c.term || m.SentAt != pr.snapshotSentAt {
-		return
+	if pr := c.snapshotProgress(m); pr != nil {
+		pr.snapshotDelivered = true
+		pr.snapshotDeliveredAt = c.now
 	}
-	pr.snapshotDelivered = true
-	pr.snapshotDeliveredAt = c.now
 }
 
 // checkSnapshotInstalled sends the pending snapshot again if the reply m shows that
@@ -231,7 +244,7 @@
 // restarted in between.
 func (c *Core) checkSnapshotInstalled(m Message, pr *progress) {
 	if pr.pendingSnapshot != 0 && pr.snapshotDelivered && m.SentAt > pr.snapshotDeliveredAt {
-		c.SnapshotFailed(m.From)
+		c.dropSnapshot(pr)
 	}
 }
 
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -190,7 +190,7 @@
 		err = r.transport.SendSnapshot(r.ctx, m)
 	}
 	if err != nil {
-		r.runOnLoop(func() { r.core.SnapshotFailed(m.To) })
+		r.runOnLoop(func() { r.core.SnapshotFailed(m) })
 		return
 	}
 	r.runOnLoop(func() { r.core.SnapshotDelivered(m) })
