Refuse a job that no replica can hold

What callers see: a job of 10,000 tasks that is repeated 10,000 times was admitted. Each number is in range, the product is 100 million tasks of 72 bytes: 7.2 GB on a machine of 280 MB. Every replica ended as it applied the command, and would again at each start, as the log is replayed. Cause: parseJob bounds counts and repeats one by one, the ledger bounds nothing. A negative count in a log (no instance sends one) panics there too.

--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -126,6 +126,9 @@
 	if l.jobs[s.ID] != nil {
 		return Result{}
 	}
+	if !s.Spec.canApply() {
+		return Result{Refusal: RefusedBadSpec}
+	}
 	job := &Job{
 		ID:            s.ID,
 		Queue:         queue.Name,
