Refuse a command that replicas cannot receive or decode

What operators see: after a configuration whose command is larger than a message between instances (16 MiB), followers close each connection that brings it, and nothing after it is ever committed; callers, operators and targets get no answer. A configuration with over 131,072 services was put into the log, ignored by every replica, and answered 503 for good. Cause: a body may have 8 MiB, and its command holds the text and the decoded fields with their names (a body of 5,388,940 bytes: 15,977,988 bytes). Nothing bounded a command, and an append always carries at least one entry. Ruled out: larger frames, as they only move the bound; a smaller body, as the ratio depends on the content. Change: Replica.Propose refuses commands over 8 MiB (ErrTooLarge), and Config.Check encodes and decodes the command as the log will (422). Result: TestCommandTooLargeToReplicateIsRefused failed before: no entry was committed in 15 s after the large one.

--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/note"
 	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
 // Config is a complete configuration of queues, services and client accounts.
@@ -117,9 +118,28 @@
 			add("tenant "+account.Name, "limit is negative")
 		}
 	}
+	if len(faults) == 0 {
+		if err := c.checkEncoding(); err != nil {
+			add("body", err.Error())
+		}
+	}
 	return faults
 }
 
+// checkEncoding returns an error unless the log can carry the configuration and
+// every replica can decode it.
+func (c *Config) checkEncoding() error {
+	data, err := Command{Config: c}.Encode()
+	if err != nil {
+		return err
+	}
+	if len(data) > raft.MaxCommandBytes {
+		return raft.ErrTooLarge
+	}
+	_, err = DecodeCommand(data)
+	return err
+}
+
 // configIndex provides lookup of the queues and client accounts of a
 // configuration.
 type configIndex struct {
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -272,6 +273,30 @@
 	}
 }
 
+// A command that no frame between instances can carry was put into the leader's log.
+// Its followers then closed each connection that brought it, and nothing after it was
+// ever committed. It is refused, and the group goes on.
+func TestCommandTooLargeToReplicateIsRefused(t *testing.T) {
+	g := newTestGroup(t, 3, 0)
+	for _, m := range g.members {
+		g.start(m)
+	}
+	g.propose("before")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := g.leader().host.Replica().Propose(ctx, make([]byte, 17<<20))
+	g.c.Check(err, qt.ErrorIs, raft.ErrTooLarge)
+	g.propose("after")
+	for _, m := range g.members {
+		g.eventually(m.cfg.Name+" has applied the next entry", func() bool { return m.words.has("after") })
+	}
+	largest := strings.Repeat("x", raft.MaxCommandBytes)
+	g.propose(largest)
+	for _, m := range g.members {
+		g.eventually(m.cfg.Name+" has applied the largest entry", func() bool { return m.words.has(largest) })
+	}
+}
+
 // While there is no leader, a call fails long before its deadline and carries a
 // retry delay, so that the caller can try another instance.
 func TestRouteFailsEarlyWithoutLeader(t *testing.T) {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -169,6 +169,8 @@
 		return graph.Result{}, wire.NewFault(wire.CodeNotLeader, "")
 	case errors.Is(err, raft.ErrBusy):
 		return graph.Result{}, wire.NewFault(wire.CodeUnavailable, err.Error())
+	case errors.Is(err, raft.ErrTooLarge):
+		return graph.Result{}, wire.NewFault(wire.CodeInternal, err.Error())
 	case err != nil:
 		return graph.Result{}, wire.NewFault(wire.CodeUncertain, err.Error())
 	}
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -20,6 +20,10 @@
 	applyChannelCapacity = 1
 )
 
+// MaxCommandBytes is the maximum size of a command. Commands are sent to other
+// replicas in batches, and a batch must fit one message of the transport.
+const MaxCommandBytes = 8 << 20
+
 // Errors of a Replica.
 var (
 	// ErrUncertain is returned if a command may or may not have been
@@ -28,6 +32,8 @@
 	ErrUncertain = errors.New("outcome of the command is uncertain")
 	// ErrBusy is returned if too many proposals are queued.
 	ErrBusy = errors.New("replica is busy")
+	// ErrTooLarge is returned for a command of more than MaxCommandBytes.
+	ErrTooLarge = errors.New("command is too large")
 	// ErrStopped is returned after Stop or after the replica has failed.
 	ErrStopped = errors.New("replica has stopped")
 )
@@ -238,10 +244,13 @@
 }
 
 // Propose proposes a command, waits until it is committed and applied, and
-// returns the result of the state machine. ErrNotLeader, ErrLeadershipTransfer
-// and ErrBusy mean that the command was not accepted; ErrUncertain means that
-// it may be committed.
+// returns the result of the state machine. ErrNotLeader, ErrLeadershipTransfer,
+// ErrBusy and ErrTooLarge mean that the command was not accepted; ErrUncertain
+// means that it may be committed.
 func (r *Replica) Propose(ctx context.Context, command []byte) (any, error) {
+	if len(command) > MaxCommandBytes {
+		return nil, ErrTooLarge
+	}
 	return r.propose(ctx, &proposal{
 		data:   command,
 		result: make(chan proposalResult, 1),
