--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"math"
 	"slices"
 	"sync"
 
@@ -308,14 +309,32 @@
 	}
 }
 
+// decodeSnapshot decodes a state encoded by Snapshot. Its lists are as long as
+// the ledger is large.
+func decodeSnapshot(state []byte) (snapshot, error) {
+	var s snapshot
+	if len(state) == 0 {
+		return s, nil
+	}
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: math.MaxInt32,
+		MaxMapPairs:      math.MaxInt32,
+	}.DecMode()
+	if err != nil {
+		return s, errors.Wrap(err, "make decoder")
+	}
+	if err := mode.Unmarshal(state, &s); err != nil {
+		return s, errors.Wrapf(ErrDecode, "snapshot: %s", err)
+	}
+	return s, nil
+}
+
 // Restore replaces the state by one encoded by Snapshot. Empty data restores an
 // empty ledger.
 func (l *Ledger) Restore(state []byte) error {
-	var s snapshot
-	if len(state) > 0 {
-		if err := cbor.Unmarshal(state, &s); err != nil {
-			return errors.Wrapf(ErrDecode, "snapshot: %s", err)
-		}
+	s, err := decodeSnapshot(state)
+	if err != nil {
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
