Take no clock of a heartbeat that the target's answers rule out

What operators see: after one odd heartbeat with a target's id and a clock that is too large (clock_ms of 1e12, say), every later lease of that target gets a deadline as far ahead. The target shortens it to its own maximum, but the leader counts 4.5 s. A target that then falls silent runs on after the leader has started its tasks elsewhere. It never recovers, as only a reading above the largest one yet counts. Cause: a heartbeat's clock was taken as it came, also before the target had answered anything. Ruled out: no clock from heartbeats at all. An idle target is not called for minutes, its guessed clock runs 3% slow, and a start's deadline would have passed when it arrives. Change: a heartbeat's clock counts only up to the clock in the last answer to a renewal, plus the time since it was sent and the drift; before the first answer it does not count. What is ignored is logged.

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -35,6 +35,11 @@
 	// clockAt.
 	clock   Clock
 	clockAt time.Time
+	// answerClock is the target's clock in its last answer to a renewal, and
+	// answerSentAt is when that renewal was sent. Together they bound the clock
+	// from above.
+	answerClock  Clock
+	answerSentAt time.Time
 	// leaseExpiry is when the lease has expired even if the target's clock is slow.
 	leaseExpiry time.Time
 	// failures counts the failed calls since the last answered renewal. The first
@@ -95,15 +100,35 @@
 	return d + time.Duration(float64(d)*l.scheduler.timing.ClockDrift)
 }
 
-// recordHeartbeat records the arrival of a heartbeat.
+// recordHeartbeat records the arrival of a heartbeat. Heartbeats may come from
+// another writer, and a clock ahead of the target's own would put off the end of
+// every later lease. Their reading therefore counts only if the target's last
+// answer to a renewal allows it.
 func (d *driver) recordHeartbeat(clock Clock) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.heartbeatAt = time.Now()
-	d.updateClock(clock)
+	now := time.Now()
+	d.heartbeatAt = now
+	if limit := d.clockUpperBound(now); clock <= limit {
+		d.updateClock(clock)
+	} else if !d.answerSentAt.IsZero() {
+		d.log.WithFields(logrus.Fields{
+			"clock": time.Duration(clock).Milliseconds(),
+			"most":  time.Duration(limit).Milliseconds(),
+		}).Warn("target: ignored the clock of a heartbeat")
+	}
 	d.updateUsableUntil()
 }
 
+// clockUpperBound returns an upper bound of the target's clock, or zero while no
+// renewal has been answered. The lock must be held.
+func (d *driver) clockUpperBound(now time.Time) Clock {
+	if d.answerSentAt.IsZero() {
+		return 0
+	}
+	return d.answerClock + Clock(d.leader.withClockDrift(now.Sub(d.answerSentAt)))
+}
+
 // updateClock processes a clock reading that has just arrived. A reading that
 // does not exceed the current lower bound is ignored. The lock must be held.
 func (d *driver) updateClock(clock Clock) {
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -466,3 +466,76 @@
 	s.c.Assert(d.lastCallFailed(), qt.IsFalse)
 	s.c.Assert(s.scheduler.ledger.Targets(), qt.HasLen, 1)
 }
+
+// A heartbeat of another writer with a target's id can name any clock. One that was
+// ahead of the target's moved the deadline of every later lease ahead as well, so that
+// a target that fell silent ran on long after its runs had been started elsewhere. It
+// must not count before the target's own first answer either.
+func TestHeartbeatClockAheadDoesNotExtendLease(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	longRunning := tasks(1)
+	longRunning.LongRunning = true
+	s.fleet.runTime = time.Hour
+	s.submit("a", longRunning)
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	s.startDefaultTarget("w1", 1)
+	for _, name := range []string{"w0", "w1"} {
+		target, _ := s.scheduler.ledger.Target(graph.TargetID{
+			ID:          name,
+			Incarnation: 1,
+		})
+		for _, ahead := range []Clock{Clock(10 * time.Second), Clock(time.Hour), Clock(1 << 62)} {
+			var clock Clock
+			s.fleet.withLock(func() { clock = s.fleet.targets[name].clock() })
+			fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{
+				Announce: target.Announcement,
+				Clock:    clock + ahead,
+			})
+			s.c.Assert(fault == nil, qt.IsTrue)
+			time.Sleep(2 * testTiming().RenewalWait)
+		}
+		s.fleet.withLock(func() {
+			target := s.fleet.targets[name]
+			s.c.Check(target.deadline <= target.clock()+Clock(testTiming().TTL), qt.IsTrue,
+				qt.Commentf("lease of %s ends in %s", name, time.Duration(target.deadline-target.clock())))
+		})
+	}
+	// The true clock still counts: the lease goes on.
+	time.Sleep(testTiming().TTL)
+	s.c.Check(s.runCount("w0"), qt.Equals, 1)
+	s.assertNoDoubleRuns()
+}
+
+// The first answer of a target is what its clock is known from. A heartbeat that came
+// before it with a clock ahead must not set the deadline of the first renewal.
+func TestFirstRenewalTakesNoClockOfHeartbeat(t *testing.T) {
+	s := newFixture(t, false)
+	announcement := graph.Announcement{
+		ID: graph.TargetID{
+			ID:          "w0",
+			Incarnation: 1,
+		},
+		Service: "s",
+		Address: "w0",
+	}
+	target := &fakeTarget{
+		startedAt:   time.Now(),
+		incarnation: 1,
+		running:     map[graph.TaskRef]*fakeRun{},
+		highestRun:  map[graph.TaskRef]uint32{},
+	}
+	s.fleet.withLock(func() { s.fleet.targets["w0"] = target })
+	fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{
+		Announce: announcement,
+		Clock:    Clock(1 << 62),
+	})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	s.eventually(waitTimeout, "the target is usable", func() bool {
+		l := s.scheduler.currentLeader.Load()
+		return l != nil && l.usable(announcement.ID, time.Now())
+	})
+	s.fleet.withLock(func() {
+		s.c.Check(target.deadline <= target.clock()+Clock(testTiming().TTL), qt.IsTrue,
+			qt.Commentf("lease ends in %s", time.Duration(target.deadline-target.clock())))
+	})
+}
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -86,6 +86,9 @@
 	}
 	d.mu.Lock()
 	d.updateClock(list.Clock)
+	if list.Clock > 0 {
+		d.answerClock, d.answerSentAt = list.Clock, sent
+	}
 	first := !d.contacted
 	d.contacted = true
 	if d.failures > 0 {
