Stop the runs that nobody placed a hundred at a time

What operators see: a target that lists many runs which the ledger does not have there (4 MiB hold over 100,000) makes the leader send a stop for each at once, each with a goroutine and a call, and again after 0.5 s; the leader runs out of memory and ends, and so does the next one. Cause: reconcile had no bound on them. Ruled out: leaving them alone; a run that nobody placed still takes room. Change: 100 for each listing. Result: TestUnknownRunsAreStoppedAFewAtATime saw 5,004 stops in flight before; it passes with at most 200. Tests of push pass with -race.

--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -51,6 +51,8 @@
 	// lostRunLists is the number of further listings with ends that are lost in
 	// transit.
 	lostRunLists int
+	// unknownRuns are further runs that the target lists as running.
+	unknownRuns []ActiveRun
 }
 
 // fakeFleet implements Targets and Advisor with fake targets in memory. It records
@@ -68,6 +70,11 @@
 	refused        int
 	doubleRuns     []string
 	ticketByTarget map[string]string
+	// stopTime is how long a stop takes to be answered. stopsInFlight counts the
+	// stops that are not answered yet, and maxStopsInFlight is their maximum.
+	stopTime         time.Duration
+	stopsInFlight    int
+	maxStopsInFlight int
 	// stalledTask is a task whose first run makes no progress.
 	stalledTask graph.TaskRef
 }
@@ -184,6 +191,12 @@
 }
 
 func (f *fakeFleet) Stop(ctx context.Context, t *graph.Target, order Stop) (Clock, error) {
+	f.mu.Lock()
+	f.stopsInFlight++
+	f.maxStopsInFlight = max(f.maxStopsInFlight, f.stopsInFlight)
+	f.mu.Unlock()
+	time.Sleep(f.stopTime)
+	defer func() { f.withLock(func() { f.stopsInFlight-- }) }()
 	target, err := f.lockTarget(ctx, t, order.Token)
 	defer f.mu.Unlock()
 	if err != nil {
@@ -228,6 +241,8 @@
 	list := RunList{
 		Clock: t.clock(),
 		Ended: append([]EndedRun(nil), t.ended...),
+
+		Running: append([]ActiveRun(nil), t.unknownRuns...),
 	}
 	for ref, r := range t.running {
 		// A run that is being stopped is in neither list until it has ended.
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -539,3 +539,29 @@
 			qt.Commentf("lease ends in %s", time.Duration(target.deadline-target.clock())))
 	})
 }
+
+// A target that lists thousands of runs that nobody placed made the leader send a stop
+// for each at once, each with a goroutine and a call of its own, which a list of 4 MiB
+// makes more than the memory of an instance. The target's own runs go on meanwhile.
+func TestUnknownRunsAreStoppedAFewAtATime(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Second
+	s.fleet.stopTime = 50 * time.Millisecond
+	s.fleet.withLock(func() {
+		for i := range 5000 {
+			s.fleet.targets["w0"].unknownRuns = append(s.fleet.targets["w0"].unknownRuns, ActiveRun{
+				Task: graph.TaskRef{
+					Job:   "unknown",
+					Index: i,
+				},
+				Run: 1,
+			})
+		}
+	})
+	s.submit("a", tasks(2))
+	s.waitCompleted("a")
+	s.fleet.withLock(func() {
+		s.c.Check(s.fleet.maxStopsInFlight > 0, qt.IsTrue)
+		s.c.Check(s.fleet.maxStopsInFlight <= 2*maxUnknownStops, qt.IsTrue, qt.Commentf("%d stops in flight", s.fleet.maxStopsInFlight))
+	})
+}
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -14,6 +14,10 @@
 // uncertain.
 const startSendGrace = time.Second
 
+// maxUnknownStops bounds the stops that one listing causes for runs that the
+// ledger does not have on the target.
+const maxUnknownStops = 100
+
 // runKey identifies a run on a target.
 type runKey struct {
 	task graph.TaskRef
@@ -95,10 +99,15 @@
 			})
 		}
 	}
+	unknown := 0
 	for key := range running {
-		if _, known := assignments[key]; !known {
-			d.stop(key)
+		if _, known := assignments[key]; known {
+			continue
+		}
+		if unknown++; unknown > maxUnknownStops {
+			break
 		}
+		d.stop(key)
 	}
 	d.removeFinishedRuns(assignments, sent)
 	if len(absent) == 0 {
