Keep the connection when one message on it cannot be decoded

What operators see: one message that the receiver does not take fails all calls under way on its connection. Before the bounds on lists a relay's reply with one target's long list did that to the orders to all targets of the relay, at each renewal. Cause: net/rpc gives up a connection whose reply cannot be decoded, and a frame of over 16 MiB ends it too. The sender did not look at what the receiver takes: up to 131,072 entries, text of valid UTF-8. Ruled out: bounds at the doors alone; the next field without one would bring this back. What its receiver would refuse is not sent: a call fails alone with ErrUnsendable, a reply is replaced by that error.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -152,8 +152,8 @@
 // timeout does not close the connection, which other calls share: it is closed
 // only when no call has received a reply for some time. After an error the
 // caller must not read reply, because a late response may still be decoded into
-// it. Call fails with ErrUnreachable, ErrNoReply, or the error text returned by
-// the method.
+// it. Call fails with ErrUnreachable, ErrNoReply, ErrUnsendable, or the error text
+// returned by the method.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -194,6 +194,9 @@
 		c.mu.Unlock()
 		return err
 	}
+	if errors.Is(err, ErrUnsendable) {
+		return err
+	}
 	c.drop(conn)
 	return errors.Wrapf(ErrNoReply, "%s: %s", c.address, err)
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,9 +24,49 @@
 	bufferSize = 64 << 10
 )
 
-// ErrMalformedFrame is returned for a frame that is too large or cannot be
-// decoded.
-var ErrMalformedFrame = errors.New("malformed frame")
+var (
+	// ErrMalformedFrame is returned for a frame that is too large or cannot be
+	// decoded.
+	ErrMalformedFrame = errors.New("malformed frame")
+	// ErrUnsendable is returned for a message that the receiver would refuse.
+	// Nothing of it has been sent.
+	ErrUnsendable = errors.New("message cannot be sent")
+)
+
+// decoder returns the decoder of messages. It takes text that is not valid UTF-8,
+// because errors may hold any bytes that came over a network.
+var decoder = sync.OnceValues(func() (cbor.DecMode, error) {
+	return cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+})
+
+// decode decodes a part of a message.
+func decode(data []byte, into any) error {
+	mode, err := decoder()
+	if err != nil {
+		return err
+	}
+	return mode.Unmarshal(data, into)
+}
+
+// encode encodes a part of a message. It returns ErrUnsendable if the receiver could
+// not decode it.
+func encode(part any) ([]byte, error) {
+	data, err := cbor.Marshal(part)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnsendable, "%s", err)
+	}
+	if len(data) > maxFrameSize {
+		return nil, errors.Wrapf(ErrUnsendable, "%d bytes exceed the frame size limit", len(data))
+	}
+	mode, err := decoder()
+	if err == nil {
+		err = mode.Wellformed(data)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnsendable, "%s", err)
+	}
+	return data, nil
+}
 
 // framedConn reads and writes CBOR values, each prefixed with its length.
 type framedConn struct {
@@ -53,11 +93,11 @@
 }
 
 func (f *framedConn) writeMessage(h header, body any) error {
-	head, err := cbor.Marshal(h)
+	head, err := encode(h)
 	if err != nil {
 		return errors.Wrap(err, "encode header")
 	}
-	data, err := cbor.Marshal(body)
+	data, err := encode(body)
 	if err != nil {
 		return errors.Wrap(err, "encode body")
 	}
@@ -102,7 +142,7 @@
 		return header{}, err
 	}
 	var h header
-	if err := cbor.Unmarshal(head, &h); err != nil {
+	if err := decode(head, &h); err != nil {
 		return header{}, errors.Wrapf(ErrMalformedFrame, "decode header: %s", err)
 	}
 	f.body, err = f.readFrame()
@@ -113,7 +153,7 @@
 	if body == nil {
 		return nil
 	}
-	if err := cbor.Unmarshal(f.body, body); err != nil {
+	if err := decode(f.body, body); err != nil {
 		return errors.Wrapf(ErrMalformedFrame, "body: %s", err)
 	}
 	return nil
@@ -137,13 +177,20 @@
 	return c.decodeBody(body)
 }
 
-// WriteResponse writes a reply.
+// WriteResponse writes a reply. Instead of one that cannot be sent it writes an error,
+// so that the caller does not wait.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return c.writeMessage(header{
+	reply := header{
 		Method: r.ServiceMethod,
 		Seq:    r.Seq,
 		Error:  r.Error,
-	}, body)
+	}
+	err := c.writeMessage(reply, body)
+	if !errors.Is(err, ErrUnsendable) {
+		return err
+	}
+	reply.Error = err.Error()
+	return c.writeMessage(reply, Empty{})
 }
 
 // Close closes the connection.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -36,6 +36,22 @@
 	return nil
 }
 
+// oddMessages are messages that can be encoded, but that the decoder takes only in part
+// or not at all, by name.
+var oddMessages = map[string]func() StepArgs{
+	"text that is not UTF-8": func() StepArgs { return StepArgs{Cell: "malformed header \xff\xfe"} },
+	"too many entries":       func() StepArgs { return StepArgs{Messages: make([]raft.Message, 131_073)} },
+	"too large": func() StepArgs {
+		return StepArgs{Messages: []raft.Message{{State: make([]byte, maxFrameSize)}}}
+	},
+}
+
+// Make is an RPC method that returns the odd message named by Cell.
+func (Echo) Make(args *StepArgs, reply *StepArgs) error {
+	*reply = oddMessages[args.Cell]()
+	return nil
+}
+
 func startServer(t *testing.T, certs *Certs) *Server {
 	traffic := &Traffic{}
 	server, err := Listen("127.0.0.1:0", nil, traffic)
@@ -69,6 +85,38 @@
 	c.Assert(errors.Is(unreachable.Call(ctx, "Echo.Say", &StepArgs{}, &StepArgs{}), ErrUnreachable), qt.IsTrue)
 }
 
+// One reply that can't be decoded, or message that is too large, ended the connection that
+// it came on, and with it the calls of all others on it: a relay's reply with a long list of
+// one target failed the leader's orders to all targets of that relay.
+func TestOddMessageDoesNotEndOtherCalls(t *testing.T) {
+	for name, odd := range oddMessages {
+		for _, method := range []string{"Echo.Make", "Echo.Say"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				c := qt.New(t)
+				client := NewDialer(&Traffic{}).NewClient(startServer(t, nil).Address())
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				c.Assert(client.Call(ctx, "Echo.Say", &StepArgs{Cell: "a"}, &StepArgs{}), qt.IsNil)
+				other := make(chan error, 1)
+				go func() { other <- client.Call(ctx, "Echo.Say", &StepArgs{Cell: "wait"}, &StepArgs{}) }()
+				time.Sleep(100 * time.Millisecond)
+				args := odd()
+				if method == "Echo.Make" {
+					args = StepArgs{Cell: name}
+				}
+				started := time.Now()
+				err := client.Call(ctx, method, &args, &StepArgs{})
+				c.Check(time.Since(started) < 2*time.Second, qt.IsTrue)
+				if name != "text that is not UTF-8" {
+					c.Check(err, qt.ErrorMatches, "(?s).*message cannot be sent.*")
+				}
+				c.Check(<-other, qt.IsNil)
+			})
+		}
+	}
+}
+
 // testCA is a certificate authority that writes its files to a temporary
 // directory.
 type testCA struct {
