Keep the record of a job while a target may hold a run of it

What callers see: a target that does not carry out a stop holds a run for longer than the record of its cancelled job is kept (180 s). A new job with the same id then takes the run for its own. If it has no such task, the end of the run ends every replica as it is applied, and again at each start; if it has, its task may run twice. Cause: records were pruned by age alone, and endRun, the orders and the plan took for granted that a run's task is there. Ruled out: another job number inside; ids are the callers', also in names of tasks. Change: Prune leaves jobs with a run that may be active.

--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -303,6 +303,14 @@
 	return &tasks[ref.Index]
 }
 
+// StepOf returns the step of the task, or nil if the job has no such step.
+func (j *Job) StepOf(ref TaskRef) *Step {
+	if ref.Step < 0 || ref.Step >= len(j.Spec.Steps) {
+		return nil
+	}
+	return &j.Spec.Steps[ref.Step]
+}
+
 // Name returns the task's name for log messages: job.occurrence.step.index.
 func (r TaskRef) Name() string {
 	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -185,9 +185,17 @@
 	})
 }
 
+// pruneJobs deletes the jobs that ended before the given time, except those with a
+// run that may still be active: a new job of the same id would take it for its own.
 func (l *Ledger) pruneJobs(before Millis) {
+	active := map[JobID]bool{}
+	for _, t := range l.targets {
+		for ref := range t.Runs {
+			active[ref.Job] = true
+		}
+	}
 	for id, job := range l.jobs {
-		if job.State.Final() && job.Ended < before {
+		if job.State.Final() && job.Ended < before && !active[id] {
 			delete(l.jobs, id)
 		}
 	}
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -209,8 +209,10 @@
 	if job == nil {
 		return assignment
 	}
-	task := job.Task(ref)
-	step := &job.Spec.Steps[ref.Step]
+	task, step := job.Task(ref), job.StepOf(ref)
+	if task == nil || step == nil {
+		return assignment
+	}
 	assignment.Payload = job.Spec.Payload
 	assignment.Checkpoint = task.Checkpoint
 	assignment.Queue = job.Queue
--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -250,6 +250,9 @@
 		return
 	}
 	task := job.Task(e.Task)
+	if task == nil {
+		return
+	}
 	task.ActiveRuns--
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -192,11 +192,10 @@
 // it is not expected to end by itself. A run that is overdue is expected to take
 // as long again as it is overdue.
 func (p *planner) expectedEnd(id graph.TargetID, ref graph.TaskRef, run uint32) (time.Time, bool) {
-	job := p.input.View.Jobs()[ref.Job]
-	if job == nil {
+	step := p.stepOf(ref)
+	if step == nil {
 		return p.input.Now, true
 	}
-	step := &job.Spec.Steps[ref.Step]
 	if step.LongRunning {
 		return time.Time{}, false
 	}
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -84,13 +84,22 @@
 	for ref, run := range target.info.Runs {
 		if run.BestEffort {
 			target.colocation.bestEffort++
-		} else if job := p.input.View.Jobs()[ref.Job]; job != nil && job.Spec.Steps[ref.Step].Latency > 0 {
+		} else if step := p.stepOf(ref); step != nil && step.Latency > 0 {
 			target.colocation.services++
 		}
 	}
 	return target.colocation
 }
 
+// stepOf returns the step of the task, or nil if no live job has it.
+func (p *planner) stepOf(ref graph.TaskRef) *graph.Step {
+	job := p.input.View.Jobs()[ref.Job]
+	if job == nil {
+		return nil
+	}
+	return job.StepOf(ref)
+}
+
 // addPlaced adds n to the number of the step's tasks placed on the target.
 func (t *targetState) addPlaced(key StepKey, n int) {
 	if t.placedTasks == nil {
@@ -103,7 +112,7 @@
 func (p *planner) reservePending() {
 	for ref, id := range p.input.Pending {
 		job := p.input.View.Jobs()[ref.Job]
-		if job == nil || job.Task(ref).State != graph.TaskWaiting {
+		if job == nil || job.Task(ref) == nil || job.Task(ref).State != graph.TaskWaiting {
 			continue
 		}
 		step := &job.Spec.Steps[ref.Step]
