Count occurrences without tasks against the bound on a job

What callers see: nothing, as the door refuses a job without steps. A command for one with a billion occurrences that is in a log ends every replica. Cause: Spec.HasAtMost counted tasks alone, and the ledger makes a record for each occurrence and step. Change: an occurrence or step without tasks counts as one. Result: the new case of TestLedgerRefusesJobThatItCannotHold ended with "out of memory" before (under a limit of 6 GB); it passes.

--- a/internal/graph/limits.go
+++ b/internal/graph/limits.go
@@ -11,14 +11,18 @@
 )
 
 // HasAtMost reports whether the job has no more than limit tasks over all steps
-// and occurrences.
+// and occurrences. Occurrences and steps without tasks count as one task.
 func (s *Spec) HasAtMost(limit int) bool {
 	left := limit / max(1, s.Occurrences)
+	if left == 0 {
+		return false
+	}
 	for i := range s.Steps {
-		if s.Steps[i].Count > left {
+		count := max(1, s.Steps[i].Count)
+		if count > left {
 			return false
 		}
-		left -= s.Steps[i].Count
+		left -= count
 	}
 	return true
 }
--- a/internal/graph/limits_test.go
+++ b/internal/graph/limits_test.go
@@ -21,6 +21,9 @@
 			Steps:       []Step{wide, wide, wide, wide, wide, wide, wide, wide, wide, wide, wide},
 			Occurrences: 10,
 		},
+		"no steps, a billion times": {
+			Occurrences: 1 << 30,
+		},
 		"negative count": {
 			Steps: []Step{{Count: -1}},
 		},
