--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"math"
 	"slices"
 	"sync"
 
@@ -130,6 +131,9 @@
 	if l.jobs[s.ID] != nil {
 		return Result{}
 	}
+	if !s.Spec.canApply() {
+		return Result{Refusal: RefusedBadSpec}
+	}
 	job := &Job{
 		ID:            s.ID,
 		Queue:         queue.Name,
@@ -189,9 +193,17 @@
 	})
 }
 
+// pruneJobs deletes the jobs that ended before the given time, except those with a
+// run that may still be active: a new job of the same id would take it for its own.
 func (l *Ledger) pruneJobs(before Millis) {
+	active := map[JobID]bool{}
+	for _, t := range l.targets {
+		for ref := range t.Runs {
+			active[ref.Job] = true
+		}
+	}
 	for id, job := range l.jobs {
-		if job.State.Final() && job.Ended < before {
+		if job.State.Final() && job.Ended < before && !active[id] {
 			delete(l.jobs, id)
 		}
 	}
@@ -313,14 +325,32 @@
 	}
 }
 
+// decodeSnapshot decodes a state encoded by Snapshot. Its lists are as long as
+// the ledger is large.
+func decodeSnapshot(state []byte) (snapshot, error) {
+	var s snapshot
+	if len(state) == 0 {
+		return s, nil
+	}
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: math.MaxInt32,
+		MaxMapPairs:      math.MaxInt32,
+	}.DecMode()
+	if err != nil {
+		return s, errors.Wrap(err, "make decoder")
+	}
+	if err := mode.Unmarshal(state, &s); err != nil {
+		return s, errors.Wrapf(ErrDecode, "snapshot: %s", err)
+	}
+	return s, nil
+}
+
 // Restore replaces the state by one encoded by Snapshot. Empty data restores an
 // empty ledger.
 func (l *Ledger) Restore(state []byte) error {
-	var s snapshot
-	if len(state) > 0 {
-		if err := cbor.Unmarshal(state, &s); err != nil {
-			return errors.Wrapf(ErrDecode, "snapshot: %s", err)
-		}
+	s, err := decodeSnapshot(state)
+	if err != nil {
+		return err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -17,6 +17,10 @@
 // unknownPercent is the pace of a run that an earlier leader may have paced.
 const unknownPercent = -1
 
+// maxUnknownStops bounds the stops that one listing causes for runs that the
+// ledger does not have on the target.
+const maxUnknownStops = 100
+
 // runKey identifies a run on a target.
 type runKey struct {
 	task graph.TaskRef
@@ -102,10 +106,15 @@
 			})
 		}
 	}
+	unknown := 0
 	for key := range running {
-		if _, known := assignments[key]; !known {
-			d.stop(key)
+		if _, known := assignments[key]; known {
+			continue
+		}
+		if unknown++; unknown > maxUnknownStops {
+			break
 		}
+		d.stop(key)
 	}
 	d.removeFinishedRuns(assignments, sent)
 	if len(absent) == 0 {
