Let no late heartbeat undo the capacity that a target says later

A heartbeat that is held up on its way and arrives after later ones restored the earlier capacity, and starts could then bring the target over what it has.

Cause: the number that orders a target's heartbeats was read and not used.

Change: an announcement carries it into the ledger; one with a lower number than the one in force changes nothing but that a target leaves. Zero, from older instances, is taken as before.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -112,6 +112,14 @@
 	// Leaving targets are draining: they get no new runs. Once set, it stays
 	// set for that target ID.
 	Leaving bool
+	// Seq increases with each heartbeat of the incarnation, so that a late one does
+	// not undo what a later one said. Zero is unknown.
+	Seq uint64 `cbor:",omitempty"`
+}
+
+// IsLate reports whether the target has sent the announcement before the other one.
+func (a *Announcement) IsLate(other *Announcement) bool {
+	return a.Seq != 0 && a.Seq < other.Seq
 }
 
 // EndIncarnations removes targets. The proposer must be certain that nothing
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -218,7 +218,9 @@
 		l.addTarget(a.ID, t)
 	}
 	leaving := t.Leaving || a.Leaving
-	t.Announcement = *a
+	if !a.IsLate(&t.Announcement) {
+		t.Announcement = *a
+	}
 	t.Leaving = leaving
 }
 
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -214,10 +214,12 @@
 }
 
 // announcementChanged reports whether the announcement differs from the ledger's
-// record of the target.
+// record of the target, and is not older than that.
 func announcementChanged(t *graph.Target, a *graph.Announcement) bool {
-	return a.Leaving && !t.Leaving || t.Service != a.Service || t.Capacity != a.Capacity ||
-		t.Address != a.Address
+	if a.Leaving && !t.Leaving {
+		return true
+	}
+	return !a.IsLate(&t.Announcement) && (t.Service != a.Service || t.Capacity != a.Capacity || t.Address != a.Address)
 }
 
 // announce commits the announcement, after ending any older incarnations of the
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -13,6 +13,7 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/pkg/pace"
+	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
 const waitTimeout = 10 * time.Second
@@ -652,3 +653,36 @@
 		s.c.Check(s.fleet.maxStopsInFlight <= 2*maxUnknownStops, qt.IsTrue, qt.Commentf("%d stops in flight", s.fleet.maxStopsInFlight))
 	})
 }
+
+// A heartbeat that was held up on its way says what the target had before. It must not be
+// committed again and again, nor undo what a later one has said.
+func TestLateHeartbeatDoesNotRestoreCapacity(t *testing.T) {
+	s := newFixture(t, false)
+	heartbeat := func(cpu quota.MilliCPU, seq uint64) {
+		fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{
+			Announce: graph.Announcement{
+				ID: graph.TargetID{
+					ID:          "w0",
+					Incarnation: 1,
+				},
+				Service:  "s",
+				Address:  "w0",
+				Capacity: quota.Resources{CPU: cpu},
+				Seq:      seq,
+			},
+		})
+		s.c.Assert(fault == nil, qt.IsTrue)
+	}
+	capacity := func() quota.MilliCPU {
+		return s.scheduler.ledger.Targets()[0].Capacity.CPU
+	}
+	heartbeat(4000, 1)
+	heartbeat(1000, 3)
+	s.c.Assert(capacity(), qt.Equals, quota.MilliCPU(1000))
+	before := s.scheduler.host.Replica().Status().Commit
+	heartbeat(4000, 2)
+	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(1000))
+	s.c.Check(s.scheduler.host.Replica().Status().Commit, qt.Equals, before)
+	heartbeat(4000, 4)
+	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(4000))
+}
