Order heartbeats by their numbers, and recover from a wrong one

Cause: only the number of an announcement that changed something was kept, and nothing but a higher one ever counted again.

Change: the leader keeps the highest number of each incarnation. A heartbeat below it is acknowledged and has no effect, not even on the time of the last one, unless it says that the target leaves; after more than three in rising order the numbers begin anew. The ledger's own check stays.

--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -59,6 +59,7 @@
 	l.mu.Lock()
 	d := l.drivers[id]
 	delete(l.drivers, id)
+	delete(l.heartbeatOrders, id)
 	l.mu.Unlock()
 	if d != nil {
 		d.cancel()
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -67,6 +67,7 @@
 	// newestIncarnation is the newest known incarnation by target id, and
 	// endedIncarnations is the set of incarnations that have left.
 	newestIncarnation map[string]int64
+	heartbeatOrders   map[graph.TargetID]*heartbeatOrder
 	endedIncarnations map[graph.TargetID]bool
 
 	fenced     atomic.Bool
@@ -94,6 +95,7 @@
 		drivers:           map[graph.TargetID]*driver{},
 		announcing:        map[graph.TargetID]chan struct{}{},
 		newestIncarnation: map[string]int64{},
+		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
 		endedIncarnations: map[graph.TargetID]bool{},
 		ctx:               ctx,
 		cancel:            cancel,
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -683,6 +683,16 @@
 	heartbeat(4000, 2)
 	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(1000))
 	s.c.Check(s.scheduler.host.Replica().Status().Commit, qt.Equals, before)
+	// The number of a heartbeat that changes nothing counts as well.
+	heartbeat(1000, 5)
 	heartbeat(4000, 4)
+	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(1000))
+	heartbeat(4000, 6)
 	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(4000))
+	// Another writer's number must not keep the target's own heartbeats out for good.
+	heartbeat(8000, 1<<50)
+	for seq := range uint64(maxLateInOrder + 1) {
+		heartbeat(2000, 7+seq)
+	}
+	s.c.Check(capacity(), qt.Equals, quota.MilliCPU(2000))
 }
