Blame no task that can't have crashed its target, and none for ever not

Seen: found by the reviewer of the work on tasks that crash targets, with trials: (1) a start that found nobody at the address counted as the cause of the crash before it, so that an innocent task was given up at its first; (2) a deadly task beside a more suspect one each time was never counted: eight crashes, none blamed; (3) one unclear last call forgot that connections had been refused, and with it the crash; (4) each long-running task of an earlier leader was a suspect.

Cause: a start counted as sent when it was tried; only blamed crashes were counted; the last error overwrote the one that told; an inherited run was taken for one just started.

A suspect is looked up once a task and not for each target. The line on a job that is given up has the counts.

One check of TestSuspectBesideOthersIsGivenUpAtThirdCrash is replaced: the other task is now in the index with two crashes and no blame, which it checks.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -201,8 +201,9 @@
 type FinishedJob struct {
 	Job   JobID
 	State State
-	// GaveUp is the task that the job failed with because targets crashed under it.
-	GaveUp *TaskRef
+	// GaveUp is the task that the job failed with because targets crashed under it, with
+	// their number.
+	GaveUp *CrashCount
 }
 
 // Encode returns the encoding of the command for the replicated log.
--- a/internal/graph/crash.go
+++ b/internal/graph/crash.go
@@ -6,37 +6,42 @@
 	// maxCrashesAlone is how many targets may crash under a task that is the only
 	// suspect at the last of these crashes.
 	maxCrashesAlone = 2
-	// maxCrashes is how many targets may crash under a task in any case.
+	// maxCrashes is how many targets may crash under a task that is the most suspect.
 	maxCrashes = 3
+	// maxCrashesInAll is how many targets may crash under a task in any case. A task
+	// may be hidden each time behind others that are more suspect.
+	maxCrashesInAll = 5
 )
 
-// CrashCount is the number of targets that have crashed under a task.
+// CrashCount counts the targets that have crashed under a task: those for which it was
+// blamed, and all.
 type CrashCount struct {
 	Task  TaskRef
 	Count int
+	Total int
 }
 
 // endIncarnations removes targets. It counts crashes against the tasks that may have
 // caused them, and fails the jobs of tasks under which too many targets have crashed:
 // such a task would go on to crash each target that it is started on.
 func (l *Ledger) endIncarnations(e *EndIncarnations) {
-	var condemned []TaskRef
+	var condemned []CrashCount
 	for _, crash := range e.Crashes {
 		condemned = append(condemned, l.recordCrash(crash)...)
 	}
 	for _, id := range e.Targets {
 		l.removeTarget(id)
 	}
-	for _, ref := range condemned {
-		if job := l.liveJobs[ref.Job]; job != nil {
+	for _, count := range condemned {
+		if job := l.liveJobs[count.Task.Job]; job != nil {
 			l.finishJob(job, StateFailed)
-			l.finished[len(l.finished)-1].GaveUp = &ref
+			l.finished[len(l.finished)-1].GaveUp = &count
 		}
 	}
 }
 
-// recordCrash counts a crash and returns the tasks to give up.
-func (l *Ledger) recordCrash(crash Crash) []TaskRef {
+// recordCrash counts a crash and returns the counts of the tasks to give up.
+func (l *Ledger) recordCrash(crash Crash) []CrashCount {
 	target := l.targets[crash.Target]
 	if target == nil {
 		return nil
@@ -47,16 +52,23 @@
 			suspects = append(suspects, ref)
 		}
 	}
-	var condemned []TaskRef
-	for _, ref := range l.mostSuspect(suspects) {
-		l.suspects[ref]++
-		l.liveJobs[ref.Job].setCrashes(ref, l.suspects[ref])
-		limit := maxCrashes
-		if len(suspects) == 1 {
-			limit = maxCrashesAlone
+	blamed := l.mostSuspect(suspects)
+	limit := maxCrashes
+	if len(suspects) == 1 {
+		limit = maxCrashesAlone
+	}
+	var condemned []CrashCount
+	for _, ref := range suspects {
+		count := l.suspects[ref]
+		count.Task = ref
+		count.Total++
+		if slices.Contains(blamed, ref) {
+			count.Count++
 		}
-		if l.suspects[ref] >= limit {
-			condemned = append(condemned, ref)
+		l.suspects[ref] = count
+		l.liveJobs[ref.Job].setCrashes(count)
+		if count.Count >= limit || count.Total >= maxCrashesInAll {
+			condemned = append(condemned, count)
 		}
 	}
 	return condemned
@@ -73,13 +85,13 @@
 	return task != nil && task.State != TaskDone
 }
 
-// mostSuspect returns the tasks under which most targets have crashed before.
+// mostSuspect returns the tasks that were blamed for most crashes before.
 func (l *Ledger) mostSuspect(tasks []TaskRef) []TaskRef {
 	most := 0
 	for _, ref := range tasks {
-		most = max(most, l.suspects[ref])
+		most = max(most, l.suspects[ref].Count)
 	}
-	return slices.DeleteFunc(slices.Clone(tasks), func(ref TaskRef) bool { return l.suspects[ref] < most })
+	return slices.DeleteFunc(slices.Clone(tasks), func(ref TaskRef) bool { return l.suspects[ref].Count < most })
 }
 
 // clearSuspicion forgets the crashes counted against the tasks.
@@ -87,24 +99,20 @@
 	for _, ref := range c.Tasks {
 		delete(l.suspects, ref)
 		if job := l.liveJobs[ref.Job]; job != nil {
-			job.setCrashes(ref, 0)
+			job.setCrashes(CrashCount{Task: ref})
 		}
 	}
 }
 
-// setCrashes sets the number of targets that have crashed under the task.
-func (j *Job) setCrashes(ref TaskRef, count int) {
-	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool { return c.Task == ref })
-	if count > 0 {
-		j.Crashes = append(j.Crashes, CrashCount{
-			Task:  ref,
-			Count: count,
-		})
+// setCrashes replaces the count of a task. A count of zero is removed.
+func (j *Job) setCrashes(count CrashCount) {
+	j.Crashes = slices.DeleteFunc(j.Crashes, func(c CrashCount) bool { return c.Task == count.Task })
+	if count.Total > 0 {
+		j.Crashes = append(j.Crashes, count)
 	}
 }
 
-// Suspects returns the tasks under which targets have crashed, with the number of
-// crashes.
-func (v *View) Suspects() map[TaskRef]int {
+// Suspects returns the tasks under which targets have crashed.
+func (v *View) Suspects() map[TaskRef]CrashCount {
 	return v.ledger.suspects
 }
--- a/internal/graph/crash_test.go
+++ b/internal/graph/crash_test.go
@@ -40,9 +40,13 @@
 	c.Assert(placeTasks(l, 1000, "w0", 2, deadly), qt.Equals, Refusal(""))
 	c.Assert(placeTasks(l, 1000, "w1", 2, other), qt.Equals, Refusal(""))
 	c.Check(crashTarget(l, "w0", deadly).Finished, qt.DeepEquals, []FinishedJob{{
-		Job:    "deadly",
-		State:  StateFailed,
-		GaveUp: &deadly,
+		Job:   "deadly",
+		State: StateFailed,
+		GaveUp: &CrashCount{
+			Task:  deadly,
+			Count: 2,
+			Total: 2,
+		},
 	}})
 	c.Check(l.IsLive("other"), qt.IsTrue)
 }
@@ -66,7 +70,32 @@
 		crashTarget(l, "w0", suspects...)
 	}
 	c.Check(l.IsLive("deadly"), qt.IsFalse)
-	c.Check(l.suspects, qt.HasLen, 0)
+	c.Check(l.suspects, qt.DeepEquals, map[TaskRef]CrashCount{
+		other: {
+			Task:  other,
+			Total: 2,
+		},
+	})
+}
+
+// A task could crash targets for ever if a more suspect one was beside it each time.
+func TestTaskHiddenBehindSuspectsIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	submitJob(l, "deadly", singleTaskStep())
+	deadly := TaskRef{Job: "deadly"}
+	for run := uint32(1); run <= maxCrashesInAll; run++ {
+		c.Assert(l.IsLive("deadly"), qt.IsTrue)
+		id := JobID(rune('a' + run))
+		submitJob(l, id, singleTaskStep())
+		other := TaskRef{Job: id}
+		c.Assert(placeTasks(l, 1000, "w1", 1, other), qt.Equals, Refusal(""))
+		crashTarget(l, "w1", other)
+		c.Assert(placeTasks(l, 1000, "w0", run, deadly), qt.Equals, Refusal(""))
+		c.Assert(placeTasks(l, 1000, "w0", 2, other), qt.Equals, Refusal(""))
+		crashTarget(l, "w0", deadly, other)
+	}
+	c.Check(l.IsLive("deadly"), qt.IsFalse)
 }
 
 // A task that has run well since its target crashed was not the cause.
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -27,9 +27,8 @@
 	usageByClientAccount map[string]quota.Resources
 	// pendingByQueue counts the live jobs of which no task has been placed.
 	pendingByQueue map[string]int
-	// suspects has the tasks of live jobs under which targets have crashed, with the
-	// number of crashes.
-	suspects map[TaskRef]int
+	// suspects has the tasks of live jobs under which targets have crashed.
+	suspects map[TaskRef]CrashCount
 	// finished collects the jobs that the current command brings to a final
 	// state.
 	finished []FinishedJob
@@ -51,7 +50,7 @@
 	l.incarnations = map[string][]int64{}
 	l.usageByClientAccount = map[string]quota.Resources{}
 	l.pendingByQueue = map[string]int{}
-	l.suspects = map[TaskRef]int{}
+	l.suspects = map[TaskRef]CrashCount{}
 }
 
 // Apply applies a command to the state.
@@ -371,7 +370,7 @@
 			l.pendingByQueue[job.Queue]++
 		}
 		for _, c := range job.Crashes {
-			l.suspects[c.Task] = c.Count
+			l.suspects[c.Task] = c
 		}
 	}
 	for _, item := range s.Targets {
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -301,8 +301,8 @@
 		end.Crashes = []Crash{crash}
 	}
 	for _, finished := range m.apply(Command{Gone: end}).Finished {
-		if finished.GaveUp != nil && m.crashes[*finished.GaveUp] < maxCrashesAlone {
-			t.Fatalf("%s was given up after %d crashes", finished.GaveUp.Name(), m.crashes[*finished.GaveUp])
+		if given := finished.GaveUp; given != nil && m.crashes[given.Task] < maxCrashesAlone {
+			t.Fatalf("%s was given up after %d crashes", given.Task.Name(), m.crashes[given.Task])
 		}
 	}
 }
@@ -313,9 +313,10 @@
 	for _, job := range m.ledger.liveJobs {
 		for _, c := range job.Crashes {
 			counted++
-			if c.Count != m.ledger.suspects[c.Task] || c.Count > m.crashes[c.Task] || c.Count >= maxCrashes {
-				t.Fatalf("%s has %d crashes, the index says %d, the model %d",
-					c.Task.Name(), c.Count, m.ledger.suspects[c.Task], m.crashes[c.Task])
+			if c != m.ledger.suspects[c.Task] || c.Count > c.Total || c.Total > m.crashes[c.Task] ||
+				c.Count >= maxCrashes || c.Total >= maxCrashesInAll {
+				t.Fatalf("%s has %+v, the index says %+v, the model %d",
+					c.Task.Name(), c, m.ledger.suspects[c.Task], m.crashes[c.Task])
 			}
 		}
 	}
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -171,8 +171,8 @@
 	Estimate Millis
 	// Speculative is set if the task may have a second run concurrently.
 	Speculative bool
-	// Crashes is the number of targets that have crashed under the task.
-	Crashes int
+	// Crashes counts the targets that have crashed under the task.
+	Crashes CrashCount
 	// Movable is set if the run may be stopped and the task placed again
 	// elsewhere.
 	Movable bool
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -191,13 +191,14 @@
 	if !p.withinClientAccountLimit(step) {
 		return nil
 	}
+	suspect := p.isSuspect(step.job, ref)
 	var best *targetState
 	bestScore := 0.0
 	for _, target := range p.candidates(step, advice) {
 		if !p.fits(step, ref, target, advice) {
 			continue
 		}
-		score := p.score(step, target) + p.suspectScore(step, ref, target)
+		score := p.score(step, target) + suspectScore(suspect, target)
 		if task := &step.tasks[ref.Index]; task.Failures > 0 && task.Target == target.info.ID {
 			score -= failedTargetPenalty
 		}
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -4,10 +4,9 @@
 
 const (
 	// suspectPairPenalty keeps suspect tasks on different targets, so that the next
-	// crash tells which of them causes it. It outweighs all other terms of the score.
+	// crash tells which of them causes it.
 	suspectPairPenalty = 40.0
-	// suspectNeighborPenalty keeps other tasks away from targets with a suspect. It
-	// outweighs all terms but the avoidance of a target where the task has failed.
+	// suspectNeighborPenalty keeps other tasks away from targets with a suspect.
 	suspectNeighborPenalty = 12.0
 	// suspectRoomWeight makes suspect tasks prefer empty targets, where a crash ends
 	// the fewest runs.
@@ -17,14 +16,15 @@
 // isSuspect reports whether the task may crash its next target: a target has crashed
 // under it, or it runs a second time because its target has not answered.
 func (p *planner) isSuspect(job *graph.Job, ref graph.TaskRef) bool {
-	return p.input.View.Suspects()[ref] > 0 || job.Task(ref).ActiveRuns > 0
+	_, found := p.input.View.Suspects()[ref]
+	return found || job.Task(ref).ActiveRuns > 0
 }
 
 // countSuspects counts the suspect tasks that run on each target.
 func (p *planner) countSuspects() {
 	for ref := range p.input.View.Suspects() {
 		task := p.input.View.Jobs()[ref.Job].Task(ref)
-		if task.State != graph.TaskPlaced {
+		if task.ActiveRuns == 0 {
 			continue
 		}
 		if target := p.byID[task.Target.ID]; target != nil {
@@ -36,8 +36,8 @@
 // suspectScore returns the part of a target's score that keeps suspect tasks apart from
 // each other and from other tasks. All work may still go anywhere: many targets may
 // crash at once for reasons of their own, and their tasks must not wait.
-func (p *planner) suspectScore(step *pendingStep, ref graph.TaskRef, target *targetState) float64 {
-	if p.isSuspect(step.job, ref) {
+func suspectScore(suspect bool, target *targetState) float64 {
+	if suspect {
 		free := target.free.DominantShare(target.info.Capacity)
 		return suspectRoomWeight*free - suspectPairPenalty*float64(target.suspects)
 	}
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -47,7 +47,7 @@
 	failures    int
 	heartbeatAt time.Time
 	// answeredAt is when the target last answered a renewal, and down is true if no
-	// process listened at its address at the last call.
+	// process listened at its address at a call since then.
 	answeredAt time.Time
 	down       bool
 	// contacted is true once the target has answered a renewal.
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -118,8 +118,10 @@
 		if f.GaveUp != nil {
 			l.scheduler.metrics.jobsGivenUp.Inc()
 			l.log.WithFields(logrus.Fields{
-				"job":  f.Job,
-				"task": f.GaveUp.Name(),
+				"job":     f.Job,
+				"task":    f.GaveUp.Task.Name(),
+				"blamed":  f.GaveUp.Count,
+				"crashes": f.GaveUp.Total,
 			}).Warn("sched: job given up, targets crash under its task")
 		}
 		l.log.WithFields(logrus.Fields{
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -135,7 +135,7 @@
 		return nil, ErrNoAnswer
 	}
 	if target.down {
-		return nil, ErrNoAnswer
+		return nil, ErrDown
 	}
 	for _, other := range f.targets {
 		f.applyDueEnds(other)
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -138,7 +138,7 @@
 // by the given time, the start is not sent.
 func (d *driver) sendStart(key runKey, ticket string, sendBy time.Time) runState {
 	var deadline Clock
-	sent := false
+	sent, arrived := false, false
 	for range startAttempts {
 		assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
 		if !assignment.Desired {
@@ -156,7 +156,7 @@
 			}
 			continue
 		}
-		d.markStartSent(key)
+		d.setStartSent(key, true)
 		err := d.callStart(Start{
 			Task:       key.task,
 			Run:        key.run,
@@ -169,6 +169,8 @@
 		if err == nil {
 			return runStarted
 		}
+		arrived = arrived || mayHaveArrived(err)
+		d.setStartSent(key, arrived)
 		d.log.WithError(err).WithFields(logrus.Fields{
 			"job":  key.task.Job,
 			"task": key.task.Name(),
@@ -191,6 +193,12 @@
 	return d.unsentState(key)
 }
 
+// mayHaveArrived reports whether the target's process may have received an order that
+// failed with the error.
+func mayHaveArrived(err error) bool {
+	return !errors.Is(err, ErrDown) && !errors.Is(err, ErrOtherIncarnation)
+}
+
 // unsentState returns the state of a run whose start this leader has not sent. An
 // earlier leader may have sent the start of an inherited run, so that run is started
 // or stopped after the next listing. Any other run is certain never to start.
--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -43,7 +43,7 @@
 // Outcomes and errors survive the encoding in a relay reply.
 func TestRelayPreservesOutcomes(t *testing.T) {
 	c := qt.New(t)
-	for _, want := range []error{nil, ErrNoAnswer, ErrFenced, ErrOtherIncarnation, ErrRefused} {
+	for _, want := range []error{nil, ErrNoAnswer, ErrDown, ErrFenced, ErrOtherIncarnation, ErrRefused} {
 		reply := OrderReply{Outcome: outcomeOf(want)}
 		err := reply.err("a:1")
 		c.Check(errors.Is(err, want), qt.IsTrue)
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -175,7 +175,7 @@
 	}
 	d.mu.Lock()
 	d.failures++
-	d.down = errors.Is(err, ErrDown)
+	d.down = d.down || errors.Is(err, ErrDown)
 	down := d.down
 	d.updateUsableUntil()
 	failures := d.failures
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -61,8 +61,8 @@
 	state      runState
 	changedAt  time.Time
 	stopSentAt time.Time
-	// startSent is true once a start has been sent, and listedAt is when the target
-	// first listed the run.
+	// startSent is true once a start may have reached the target, and listedAt is when
+	// the target first listed the run.
 	startSent bool
 	listedAt  time.Time
 	// percent is the last acknowledged pace or unknownPercent, and pacing is true
--- a/internal/push/suspect.go
+++ b/internal/push/suspect.go
@@ -9,11 +9,11 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
-// markStartSent records that a start of the run is about to be sent.
-func (d *driver) markStartSent(key runKey) {
+// setStartSent records whether a start of the run may have reached the target.
+func (d *driver) setStartSent(key runKey, sent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.runInfo(key).startSent = true
+	d.runInfo(key).startSent = sent
 }
 
 // crashesOf returns the crashes of those targets that have not announced that they
@@ -52,8 +52,8 @@
 
 // suspects returns the tasks among the assignments that may have made the target crash:
 // those that were started and never listed as running, or else those that were listed
-// for the first time not long before, and in any case those under which another target
-// has crashed.
+// for the first time not long before, and in any case those that were blamed for a
+// crash before.
 func (d *driver) suspects(assignments []graph.Assignment) []graph.TaskRef {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,8 +62,10 @@
 		info := d.runInfo(keyOf(assignment.Task, assignment.Run))
 		switch {
 		case !info.startSent && info.listedAt.IsZero():
-		case assignment.Crashes > 0:
+		case assignment.Crashes.Count > 0:
 			repeated = append(repeated, assignment.Task)
+		case info.listedAt.IsZero() && assignment.LongRunning && info.state == runUnknown:
+			// An earlier leader placed it, most likely long ago.
 		case info.listedAt.IsZero():
 			unlisted = append(unlisted, assignment.Task)
 		case d.answeredAt.Sub(info.listedAt) < d.leader.scheduler.timing.FreshRunTime:
@@ -85,7 +87,7 @@
 	d.mu.Lock()
 	for key, assignment := range assignments {
 		info := d.runs[key]
-		if assignment.Crashes > 0 && info != nil && !info.listedAt.IsZero() && now.Sub(info.listedAt) >= clearAfter {
+		if assignment.Crashes.Total > 0 && info != nil && !info.listedAt.IsZero() && now.Sub(info.listedAt) >= clearAfter {
 			cleared = append(cleared, key.task)
 		}
 	}
--- a/internal/push/suspect_test.go
+++ b/internal/push/suspect_test.go
@@ -110,3 +110,68 @@
 	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 2 })
 	s.c.Assert(s.state("a"), qt.Equals, graph.StateRunning)
 }
+
+// A start that found nobody at the target's address has crashed nobody. Counted as the
+// cause of the crash before it, an innocent task would be given up at its first.
+func TestUndeliveredStartIsNoSuspect(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	target := s.scheduler.ledger.Targets()[0]
+	assignment := s.scheduler.ledger.Assignments(target.ID)[0]
+	for _, test := range []struct {
+		down     bool
+		suspects int
+	}{
+		{
+			down:     false,
+			suspects: 1,
+		},
+		{
+			down:     true,
+			suspects: 0,
+		},
+	} {
+		d := newDriver(s.scheduler.currentLeader.Load(), target)
+		d.setClock(Clock(time.Hour))
+		s.fleet.withLock(func() { s.fleet.targets["w0"].down = test.down })
+		d.sendStart(keyOf(assignment.Task, assignment.Run), "", time.Now().Add(maxStartDelay))
+		s.c.Check(d.suspects([]graph.Assignment{assignment}), qt.HasLen, test.suspects, qt.Commentf("down %t", test.down))
+	}
+}
+
+// The last of the calls to a crashed target may get no clear answer, on a slow link or
+// through a relay. The refused connections before it have told that its process is gone.
+func TestTargetStaysDownUntilItAnswers(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	d := newDriver(s.scheduler.currentLeader.Load(), s.scheduler.ledger.Targets()[0])
+	d.leaseExpiry = time.Now().Add(time.Hour)
+	c := s.c
+	c.Check(d.handleRenewalFailure(ErrDown), qt.IsFalse)
+	c.Check(d.down, qt.IsTrue)
+	c.Check(d.handleRenewalFailure(ErrNoAnswer), qt.IsFalse)
+	c.Check(d.down, qt.IsTrue)
+	c.Assert(d.renewLease(), qt.IsNil)
+	c.Check(d.down, qt.IsFalse)
+}
+
+// An earlier leader has most likely started a long-running task long before the crash that
+// its successor sees. Suspected at each change of the leader it would be given up in the
+// end.
+func TestInheritedLongRunningTaskIsNoSuspect(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	d := newDriver(s.scheduler.currentLeader.Load(), s.scheduler.ledger.Targets()[0])
+	long := graph.Assignment{
+		Task:        graph.TaskRef{Job: "long"},
+		Run:         1,
+		LongRunning: true,
+	}
+	short := graph.Assignment{
+		Task: graph.TaskRef{Job: "short"},
+		Run:  1,
+	}
+	d.inherited[keyOf(long.Task, long.Run)] = true
+	d.inherited[keyOf(short.Task, short.Run)] = true
+	s.c.Check(d.suspects([]graph.Assignment{long, short}), qt.DeepEquals, []graph.TaskRef{short.Task})
+}
