Stop a host whose replica is just being started

Cause: Stop read the transport and the storage without the lock under which a new replica sets them, and a replica started after that look was never stopped.

Change: Stop takes them under the lock after the context has ended, and none is started after that.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -163,17 +163,22 @@
 // them.
 func (h *Host) Stop() {
 	h.cancel()
-	if r := h.replica.Load(); r != nil {
-		r.Stop()
+	// A replica that is being started is complete once the lock is free; none is
+	// started after that.
+	h.mu.Lock()
+	replica, transport, storage := h.replica.Load(), h.transport, h.storage
+	h.mu.Unlock()
+	if replica != nil {
+		replica.Stop()
 	}
-	if h.transport != nil {
-		h.transport.Close()
+	if transport != nil {
+		transport.Close()
 	}
 	h.server.Close()
 	h.router.close()
 	h.wg.Wait()
-	if h.storage != nil {
-		if err := h.storage.Close(); err != nil {
+	if storage != nil {
+		if err := storage.Close(); err != nil {
 			h.log.WithError(err).Warn("group: closing storage failed")
 		}
 	}
--- a/internal/group/host_test.go
+++ b/internal/group/host_test.go
@@ -423,3 +423,17 @@
 	g.c.Fatal("no voter beside the leader")
 	return nil
 }
+
+// A host that is stopped while its new replica starts must not leave the replica running:
+// its log would stay open, and its folder locked for nobody.
+func TestStopWhileReplicaStarts(t *testing.T) {
+	g := newTestGroup(t, 1, 1)
+	g.start(g.members[0])
+	g.propose("first")
+	for wait := range 20 {
+		m := g.members[1]
+		g.start(m)
+		time.Sleep(joinInterval + time.Duration(wait-10)*2*time.Millisecond)
+		m.stop()
+	}
+}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"hash/fnv"
 	"os"
 	"path/filepath"
@@ -109,11 +110,15 @@
 	if err := WriteIdentity(h.cfg.DataFolder, id); err != nil {
 		return err
 	}
+	// Stop reads these fields under the lock once the context has ended.
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() != nil {
+		return errors.Wrap(cmp.Or(storage.Close(), h.ctx.Err()), "host is stopping")
+	}
 	h.identity = id
 	h.storage = storage
 	h.transport = peer.NewRaftTransport(id.Cell, h.dialer, h.addressOf)
-	h.mu.Unlock()
 	replica, err := raft.NewReplica(raft.CoreConfig{
 		ID:                id.ID,
 		ElectionTimeout:   h.cfg.ElectionTimeout,
