Let a cancelled dial not count as an address out of reach

Logs kept of the failures: the announcement was not sent ("instance is unreachable").

Cause: a search for the leader cancels its calls once a peer has replied. A dial that ended so counted as failed, and for 100 ms no call went to that address.

Ruled out: the new leader's word not believed (the log shows no ping without a leader), and a peer that did not listen yet: to end the pause at a greeting still left 1 of 320.

Change: a dial that its caller has cancelled sets no pause.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -139,7 +139,10 @@
 	}
 	conn, err := c.dialer.dial(ctx, c.address, c.mode)
 	if err != nil {
-		c.redialAt = time.Now().Add(redialDelay)
+		// A dial that its caller has cancelled says nothing about the address.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.redialAt = time.Now().Add(redialDelay)
+		}
 		return nil, err
 	}
 	c.conn = conn
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -299,3 +299,16 @@
 		c.Fatal("the write is still blocked")
 	}
 }
+
+// A search for the leader cancels its calls to the other peers once one has replied. A
+// dial that ends so must not keep the next call from its address: the announcement of a
+// new leader was lost in the pause.
+func TestCancelledDialDoesNotDelayNextCall(t *testing.T) {
+	c := qt.New(t)
+	server := startServer(t, nil)
+	client := NewDialer(&Traffic{}).NewClient(server.Address())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(client.Call(ctx, "Echo.Say", &StepArgs{}, &StepArgs{}), qt.ErrorIs, ErrUnreachable)
+	c.Assert(client.Call(context.Background(), "Echo.Say", &StepArgs{}, &StepArgs{}), qt.IsNil)
+}
