Ask one place whether a replica is still a member

Change: peer.Table tells the membership as the leader sees it, for both; the second mend goes.

Measured: internal/group and internal/peer pass with the race detector, both sets of tests of the fault included (TestReplacedVoterJoinsAgain, TestDisksFullOneAfterAnother, TestReplacedVoterReturns).

--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -207,8 +207,7 @@
 
 // ensureJoined reports whether the leader's membership contains this replica with its
 // current name, address and failure domain. If not, it sends a Join call to the
-// leader. A replica that hears from no leader may have been removed while it was
-// away: its own copy of the membership then still contains it.
+// leader.
 func (h *Host) ensureJoined() (bool, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, joinTimeout)
 	defer cancel()
@@ -223,9 +222,9 @@
 	}
 	status := replica.Status()
 	self := h.selfMember(status.ID)
-	if current, ok := h.groupMembership(status).Find(status.ID); ok {
+	if current, ok := h.router.MembershipAtLeader(status).Find(status.ID); ok {
 		self.Voter = current.Voter
-		if current == self && status.Leader != 0 {
+		if current == self {
 			return true, nil
 		}
 	}
@@ -239,16 +238,6 @@
 	return false, nil
 }
 
-// groupMembership returns the membership that the leader has last told. The log of this
-// replica does not tell whether it is a member: the entry that removes a member is not
-// sent to it.
-func (h *Host) groupMembership(status raft.Status) raft.Membership {
-	if status.Role == raft.RoleLeader {
-		return status.Membership
-	}
-	return h.router.Membership()
-}
-
 // selfMember returns the membership entry of this instance.
 func (h *Host) selfMember(id raft.ID) raft.Member {
 	return raft.Member{
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -42,13 +42,7 @@
 		replica = n.replica.Load()
 	}
 	status := replica.Status()
-	// The log of this replica does not tell whether it is still a member: the entry
-	// that removes a member is not sent to it.
-	membership := n.router.Membership()
-	if status.Role == raft.RoleLeader {
-		membership = status.Membership
-	}
-	member, ok := membership.Find(status.ID)
+	member, ok := n.router.MembershipAtLeader(status).Find(status.ID)
 	if ok && member.Address == n.cfg.Advertise {
 		return nil
 	}
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -128,6 +128,16 @@
 	return t.membership
 }
 
+// MembershipAtLeader returns the membership that the leader has last told, or the one in
+// the status if that is the leader's own. The log of another replica does not tell
+// whether it is a member: the entry that removes a member is not sent to it.
+func (t *Table) MembershipAtLeader(status raft.Status) raft.Membership {
+	if status.Role == raft.RoleLeader {
+		return status.Membership
+	}
+	return t.Membership()
+}
+
 // SetMembership replaces the known membership, unless m is empty.
 func (t *Table) SetMembership(m raft.Membership) {
 	if len(m.Members) == 0 {
