--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,6 +33,10 @@
 
 func play() int {
 	scenarios := map[string]scenario{
+		"sameid": {
+			workers: 8,
+			play:    playSameID,
+		},
 		"crashed": {
 			workers: 8,
 			play:    playCrashed,
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -58,7 +58,10 @@
 	// listen is its address, and announced the one that it tells.
 	listen    string
 	announced string
-	server    *http.Server
+	// firstReport is how long after the start of a life its first status report is
+	// sent.
+	firstReport time.Duration
+	server      *http.Server
 
 	mu       sync.Mutex
 	up       bool
@@ -362,6 +365,7 @@
 
 // sendHeartbeats reports the worker's status until its life ends.
 func (w *worker) sendHeartbeats(done chan struct{}) {
+	time.Sleep(w.firstReport)
 	for {
 		acknowledged := w.report("heartbeat", w.status())
 		wait := heartbeatInterval
