Review, case 3: a leaving worker's tasks run twice

Cause: a deregistration ends the incarnation when it arrives, while the worker runs on until it has the confirmation (internal/push/admit.go).

Change: none to the program. A script in which the connection on which a leaving worker deregisters goes silent.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec target/review/stand stranger "review/3/record.txt"
+exec target/review/stand leaving "review/3/record.txt"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec target/review/stand restored "review/4/record.txt"
+exec target/review/stand stranger "review/4/record.txt"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec target/review/stand public "review/5/record.txt"
+exec target/review/stand restored "review/5/record.txt"
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,6 +33,10 @@
 
 func play() int {
 	scenarios := map[string]scenario{
+		"leaving": {
+			workers: 6,
+			play:    playLeaving,
+		},
 		"sameid": {
 			workers: 8,
 			play:    playSameID,
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -58,16 +58,19 @@
 	r.writeLocked("BROKEN %s", text)
 }
 
+// minOverlap is how long two runs of a task are at work before that counts: the time in
+// which two messages that were sent at once may arrive.
+const minOverlap = 50 * time.Millisecond
+
 // runStarted records that a worker has begun a run. It is a violation if another run
-// of the task is at work on a worker that is up.
+// of the task is and stays at work on a worker that is up.
 func (r *record) runStarted(worker, task string, run int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts[task]++
 	r.writeLocked("run   %s starts %s run %d", worker, task, run)
 	for other, otherRun := range r.active[task] {
-		r.violateLocked("TWICE: %s run %d starts on %s while its run %d is at work on %s",
-			task, run, worker, otherRun, other)
+		time.AfterFunc(minOverlap, func() { r.checkOverlap(task, run, worker, otherRun, other) })
 	}
 	if r.active[task] == nil {
 		r.active[task] = map[string]int{}
@@ -75,6 +78,16 @@
 	r.active[task][worker] = run
 }
 
+// checkOverlap records a violation if both runs are still at work.
+func (r *record) checkOverlap(task string, run int, worker string, otherRun int, other string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.active[task][worker] == run && r.active[task][other] == otherRun {
+		r.violateLocked("TWICE: %s run %d is at work on %s and run %d on %s for more than %s",
+			task, run, worker, otherRun, other, minOverlap)
+	}
+}
+
 // runEnded records that a run is over.
 func (r *record) runEnded(worker, task string, run int, how string) {
 	r.mu.Lock()
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -342,14 +342,14 @@
 	}
 }
 
-// report sends a status report to the instances that serve control, one after the
-// other, until one acknowledges it. It returns false if none does.
-func (w *worker) report(what string, body map[string]any) bool {
+// report sends what the worker says of itself to the addresses, one after the other,
+// until one acknowledges it. It returns false if none does.
+func (w *worker) report(what string, body map[string]any, addresses []string) bool {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return false
 	}
-	for _, address := range w.control {
+	for _, address := range addresses {
 		url := "http://" + address + "/jasmineward/instances/" + w.id + "/" + what
 		req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(data))
 		if err != nil {
@@ -367,7 +367,7 @@
 func (w *worker) sendHeartbeats(done chan struct{}) {
 	time.Sleep(w.firstReport)
 	for {
-		acknowledged := w.report("heartbeat", w.status())
+		acknowledged := w.report("heartbeat", w.status(), w.control)
 		wait := heartbeatInterval
 		if !acknowledged {
 			wait = 50 * time.Millisecond
