--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,8 @@
 	exitBroken = 1
 	exitNotRun = 2
 	arguments  = 3
+	// maxTime is how long a case may take in all.
+	maxTime = 115 * time.Second
 	// settleTime is how long the workers have to be known before a case begins.
 	settleTime = time.Second
 )
@@ -89,12 +93,26 @@
 	return exitHeld
 }
 
+// stopEarly ends all processes and this one when it is told to end or maxTime is over.
+func (c *cell) stopEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	c.record.write("the case could not run: it was stopped early")
+	c.stop()
+	os.Exit(exitNotRun)
+}
+
 // playOn starts a cell with workers, plays the scenario and ends all processes.
 func playOn(r *record, s scenario, trouble bool) error {
 	r.write("trouble: %t", trouble)
 	c, err := startCell(r)
 	if c != nil {
 		defer c.stop()
+		go c.stopEarly()
 	}
 	if err != nil {
 		return err
