Keep the runs that the next process of a target may have taken

Cause: the end of an incarnation ended all runs that the ledger has for it. Orders name only the target's id, so a process that was started again under that id takes a start that was meant for the old one, and its run was ended as lapsed and started again elsewhere as soon as the new process was noticed. The deadline of the start does not help: it is by the old process's clock.

Evidence: 'target: lifetime over' names the run among those that ended with the old incarnation, 'sched: placed' has run 1 before it, and the new process lists it. The new line 'target: lifetime replaced' tells the runs that are over from the uncertain ones.

Change: a run is over with its incarnation only if no start of it was sent, or if that incarnation listed it and no other start of it is left. The next incarnation adopts the others: they stay in the ledger where they are, count for room and spread, and its driver settles them by listing and stop. An answer now tells a restarted target from another one at its address. No command and no encoded state changes, so old and new replicas agree; a reply of an old relay counts as no answer while a run is uncertain.

Ruled out: that run 2 was placed before run 1 was sent, and that the new process was not told from the old one.

--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"iter"
 	"time"
 
 	"github.com/jasmineward/jasmineward/pkg/quota"
@@ -178,21 +179,50 @@
 	Movable bool
 }
 
-// Assignments returns the runs that may be active on the target.
+// Assignments returns the runs that may be active in the target's process: those of
+// the incarnation, and those that the ledger still has for older ones, which the
+// process may have taken for them.
 func (l *Ledger) Assignments(id TargetID) []Assignment {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	t := l.targets[id]
-	if t == nil {
-		return nil
-	}
-	assignments := make([]Assignment, 0, len(t.Runs))
-	for ref, active := range t.Runs {
-		assignments = append(assignments, l.newAssignment(id, ref, active.Run))
+	var assignments []Assignment
+	for holder, t := range l.processOf(id) {
+		for ref, active := range t.Runs {
+			assignments = append(assignments, l.newAssignment(holder, ref, active.Run))
+		}
 	}
 	return assignments
 }
 
+// processOf returns the incarnation and the older ones of the same target, as far as
+// they are known.
+func (l *Ledger) processOf(id TargetID) iter.Seq2[TargetID, *Target] {
+	return func(yield func(TargetID, *Target) bool) {
+		for _, incarnation := range l.incarnations[id.ID] {
+			holder := TargetID{
+				ID:          id.ID,
+				Incarnation: incarnation,
+			}
+			if incarnation <= id.Incarnation && !yield(holder, l.targets[holder]) {
+				return
+			}
+		}
+	}
+}
+
+// HolderOf returns the incarnation for which the ledger has the run: the given one or
+// an older one of the same target.
+func (l *Ledger) HolderOf(id TargetID, ref TaskRef, run uint32) TargetID {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for holder, t := range l.processOf(id) {
+		if t.Runs[ref].Run == run {
+			return holder
+		}
+	}
+	return id
+}
+
 // AssignmentOf returns the assignment for one run.
 func (l *Ledger) AssignmentOf(id TargetID, ref TaskRef, run uint32) Assignment {
 	l.mu.RLock()
@@ -266,6 +296,21 @@
 	return v.ledger.targets
 }
 
+// OlderIncarnations returns the older incarnations of the target whose runs may still
+// be active in its process.
+func (v *View) OlderIncarnations(id TargetID) []*Target {
+	if len(v.ledger.incarnations[id.ID]) < 2 {
+		return nil
+	}
+	var older []*Target
+	for holder, t := range v.ledger.processOf(id) {
+		if holder != id {
+			older = append(older, t)
+		}
+	}
+	return older
+}
+
 // QueueOf returns the job's queue, or nil if it is no longer in the
 // configuration.
 func (v *View) QueueOf(job *Job) *Queue {
@@ -309,14 +354,16 @@
 	return l.liveJobs[id] != nil
 }
 
-// RunCount returns the number of runs that may be active on the target.
+// RunCount returns the number of runs that may be active in the target's process, as
+// Assignments does.
 func (l *Ledger) RunCount(id TargetID) int {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if t := l.targets[id]; t != nil {
-		return len(t.Runs)
+	count := 0
+	for _, t := range l.processOf(id) {
+		count += len(t.Runs)
 	}
-	return 0
+	return count
 }
 
 // Counts holds totals over the ledger, for metrics.
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -205,7 +205,7 @@
 // whatever its room.
 func (p *planner) taskLimit(step *pendingStep, target *targetState) int {
 	if step.spec.MaxPerTarget > 0 {
-		return step.spec.MaxPerTarget - target.info.RunsOfStep(step.key.TaskRef(0)) - target.placedTasks[step.key]
+		return step.spec.MaxPerTarget - target.runsOfStep(step.key.TaskRef(0)) - target.placedTasks[step.key]
 	}
 	return step.spec.Count
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -234,7 +234,7 @@
 	if !step.spec.Reservation().FitsIn(p.roomFor(step, target)) || !target.info.HasLabel(step.spec.Label) {
 		return false
 	}
-	if _, running := target.info.Runs[ref]; running {
+	if target.hasRun(ref) {
 		return false
 	}
 	if advice != nil {
@@ -243,7 +243,7 @@
 			return false
 		}
 	}
-	return step.spec.MaxPerTarget == 0 || target.info.RunsOfStep(ref)+target.placedTasks[step.key] < step.spec.MaxPerTarget
+	return step.spec.MaxPerTarget == 0 || target.runsOfStep(ref)+target.placedTasks[step.key] < step.spec.MaxPerTarget
 }
 
 // speedScore returns the contribution of a target's speed to its score. Only
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -23,6 +23,8 @@
 	holds map[StepKey]*Hold
 	// expectedEnds has the predicted ends of runs.
 	expectedEnds map[graph.TaskRef]time.Time
+	// usable reports whether a target is usable. All are if it is nil.
+	usable func(graph.TargetID) bool
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -105,7 +107,7 @@
 				at, known := f.expectedEnds[ref]
 				return at, known
 			},
-			Usable: func(graph.TargetID) bool { return true },
+			Usable: func(id graph.TargetID) bool { return f.usable == nil || f.usable(id) },
 			Speed:  func(graph.TargetID) float64 { return 1 },
 		})
 	})
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
@@ -11,7 +12,10 @@
 // targetState tracks the free resources of a target during one decision.
 type targetState struct {
 	info *graph.Target
-	free quota.Resources
+	// older are the older incarnations of the target, whose runs may still be active
+	// in its process.
+	older []*graph.Target
+	free  quota.Resources
 	// placedTasks counts the pending and newly placed tasks by step.
 	placedTasks map[StepKey]int
 	speed       float64
@@ -46,10 +50,14 @@
 		}
 		states = append(states, targetState{
 			info:  info,
+			older: p.input.View.OlderIncarnations(id),
 			free:  info.Free(),
 			speed: p.input.Speed(id),
 		})
 		target := &states[len(states)-1]
+		for _, older := range target.older {
+			target.free = target.free.Sub(older.Used)
+		}
 		p.byService[info.Service] = append(p.byService[info.Service], target)
 		p.byID[id.ID] = target
 	}
@@ -57,6 +65,27 @@
 	p.countSuspects()
 }
 
+// runsOfStep returns the number of active runs on the target that belong to the same
+// step and occurrence as the task.
+func (t *targetState) runsOfStep(ref graph.TaskRef) int {
+	count := t.info.RunsOfStep(ref)
+	for _, older := range t.older {
+		count += older.RunsOfStep(ref)
+	}
+	return count
+}
+
+// hasRun reports whether a run of the task may be active on the target.
+func (t *targetState) hasRun(ref graph.TaskRef) bool {
+	if _, running := t.info.Runs[ref]; running {
+		return true
+	}
+	return slices.ContainsFunc(t.older, func(older *graph.Target) bool {
+		_, running := older.Runs[ref]
+		return running
+	})
+}
+
 // targetsByFreeShare returns the targets of the service in descending order of
 // their free share at the start of the decision.
 func (p *planner) targetsByFreeShare(service string) []*targetState {
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -228,10 +228,8 @@
 // announce commits the announcement, after ending any older incarnations of the
 // target.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
-	if older := l.scheduler.ledger.OlderIncarnations(h.Announce.ID); len(older) > 0 {
-		if fault := l.endIncarnations("newer lifetime announced", true, older...); fault != nil {
-			return fault
-		}
+	if fault := l.replaceOlder("newer lifetime announced", h.Announce.ID); fault != nil {
+		return fault
 	}
 	if _, fault := l.propose(ctx, graph.Command{Target: &h.Announce}); fault != nil {
 		return fault
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -52,8 +52,12 @@
 	down       bool
 	// contacted is true once the target has answered a renewal.
 	contacted bool
-	// inherited is the set of runs that an earlier leader placed.
-	inherited      map[runKey]bool
+	// inherited is the set of runs that an earlier leader placed, and adopted the set
+	// of those that the target's process may have taken for an older incarnation.
+	inherited map[runKey]bool
+	adopted   map[runKey]bool
+	// replaced is true once another incarnation of the target is known to run.
+	replaced       bool
 	paceController pace.Controller
 	// usableUntil is a time.Duration since the leader's start, by the monotonic
 	// clock.
@@ -80,15 +84,23 @@
 		heartbeatAt: time.Now(),
 
 		inherited: map[runKey]bool{},
+		adopted:   map[runKey]bool{},
 	}
 	return d
 }
 
 // inherit records the runs in the ledger that an earlier leader placed on the
-// target.
+// target, and adopts those of older incarnations. The lease of these may be as long as
+// a target grants any: an order for an older incarnation has a deadline by its clock.
 func (d *driver) inherit() {
 	for key := range d.ledgerAssignments() {
-		d.inherited[key] = true
+		if d.leader.scheduler.ledger.HolderOf(d.target.ID, key.task, key.run) == d.target.ID {
+			d.inherited[key] = true
+			continue
+		}
+		d.adopted[key] = true
+		d.leaseExpiry = time.Now().Add(d.leader.withClockDrift(d.leader.scheduler.timing.MaxLease) +
+			d.leader.scheduler.timing.LeaseMargin)
 	}
 }
 
@@ -157,12 +169,12 @@
 
 // extendLease returns the lease deadline for an order sent now, by the target's
 // clock, and extends leaseExpiry to cover it. It returns zero, and extends nothing,
-// while the target's clock is unknown and while the target does not answer, so that
-// the lease of a lost target expires.
+// while the target's clock is unknown, while the target does not answer and once it is
+// replaced, so that the lease of a lost target expires.
 func (d *driver) extendLease() Clock {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.failures > 0 {
+	if d.failures > 0 || d.replaced {
 		return 0
 	}
 	now := time.Now()
@@ -189,7 +201,7 @@
 // news. The lock must be held.
 func (d *driver) updateUsableUntil() {
 	var until time.Duration
-	if d.contacted && d.failures == 0 && !d.clockAt.IsZero() {
+	if d.contacted && d.failures == 0 && !d.replaced && !d.clockAt.IsZero() {
 		until = d.heartbeatAt.Add(d.leader.scheduler.timing.MaxHeartbeatAge).Sub(d.leader.started)
 	}
 	d.usableUntil.Store(int64(until))
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -68,15 +69,21 @@
 	l.wakeDecisionLoop()
 }
 
-// endIncarnations commits that the incarnations have ended, with all their
-// runs, and removes their drivers. A crash is the end of a process that has not
-// announced that it leaves.
+// endIncarnations commits that the incarnations and all older ones of their targets
+// have ended, with all their runs, and removes their drivers. A crash is the end of a
+// process that has not announced that it leaves.
 func (l *leader) endIncarnations(why string, crashed bool, ids ...graph.TargetID) *wire.Fault {
 	lost := l.runsOn(ids)
-	ended := &graph.EndIncarnations{Targets: ids}
+	ended := &graph.EndIncarnations{}
 	if crashed {
 		ended.Crashes = l.crashesOf(ids)
 	}
+	for _, id := range ids {
+		ids = append(ids, l.scheduler.ledger.OlderIncarnations(id)...)
+	}
+	slices.SortFunc(ids, compareTargets)
+	ids = slices.Compact(ids)
+	ended.Targets = ids
 	result, fault := l.propose(l.ctx, graph.Command{Gone: ended})
 	if fault != nil {
 		l.log.WithFields(logrus.Fields{
@@ -100,6 +107,10 @@
 	return nil
 }
 
+func compareTargets(a, b graph.TargetID) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
 // runsOn returns the names of the runs that may be active on the targets.
 func (l *leader) runsOn(ids []graph.TargetID) map[graph.TargetID][]string {
 	names := make(map[graph.TargetID][]string, len(ids))
--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -18,13 +18,9 @@
 			continue
 		}
 		last = max(last, run.Seq)
-		ends = append(ends, graph.RunEnd{
-			Target:     d.target.ID,
-			Task:       run.Task,
-			Run:        run.Run,
-			Outcome:    run.Outcome,
-			Checkpoint: run.Checkpoint,
-		})
+		end := d.endOf(keyOf(run.Task, run.Run), run.Outcome)
+		end.Checkpoint = run.Checkpoint
+		ends = append(ends, end)
 	}
 	d.mu.Unlock()
 	if len(ends) == 0 {
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -124,7 +124,8 @@
 }
 
 // lockTarget returns the target, or an error if the target does not answer or
-// rejects the token. It returns with the mutex held in either case.
+// rejects the token. It returns with the mutex held in either case. Whichever
+// incarnation of the target runs carries out the order, as orders name only the id.
 func (f *fakeFleet) lockTarget(ctx context.Context, t *graph.Target, token uint64) (*fakeTarget, error) {
 	f.mu.Lock()
 	target := f.targets[t.ID.ID]
@@ -140,9 +141,6 @@
 	for _, other := range f.targets {
 		f.applyDueEnds(other)
 	}
-	if target.incarnation != t.ID.Incarnation {
-		return nil, ErrOtherIncarnation
-	}
 	if token < target.token {
 		return nil, ErrFenced
 	}
@@ -168,7 +166,7 @@
 		time.AfterFunc(f.startDelay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			_ = f.acceptStart(target, t.ID.ID, order)
+			_ = f.acceptStart(f.targets[t.ID.ID], t.ID.ID, order)
 		})
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -246,6 +244,9 @@
 		if len(target.ended) > 0 || time.Now().After(limit) {
 			list := target.list()
 			f.mu.Unlock()
+			if target.incarnation != t.ID.Incarnation {
+				return RunList{}, &RestartedError{Incarnation: target.incarnation}
+			}
 			return list, nil
 		}
 		f.mu.Unlock()
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -69,6 +69,9 @@
 	newestIncarnation map[string]int64
 	heartbeatOrders   map[graph.TargetID]*heartbeatOrder
 	endedIncarnations map[graph.TargetID]bool
+	// replaced is the set of incarnations of which it is committed, or being
+	// committed, that a later one of the target has replaced them.
+	replaced map[graph.TargetID]bool
 
 	fenced     atomic.Bool
 	ctx        context.Context
@@ -97,6 +100,7 @@
 		newestIncarnation: map[string]int64{},
 		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
 		endedIncarnations: map[graph.TargetID]bool{},
+		replaced:          map[graph.TargetID]bool{},
 		ctx:               ctx,
 		cancel:            cancel,
 	}
@@ -120,7 +124,9 @@
 	l.goroutines.Go(func() {
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
-			l.ensureDriver(t)
+			if t.ID.Incarnation == l.currentIncarnation(t.ID.ID) {
+				l.ensureDriver(t)
+			}
 		}
 		l.relays.checkLoop(l.ctx)
 	})
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -26,6 +26,7 @@
 	electionsWon  prometheus.Counter
 	crashes       prometheus.Counter
 	jobsGivenUp   prometheus.Counter
+	adoptedRuns   prometheus.Counter
 	waiting       *prometheus.GaugeVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
@@ -50,6 +51,13 @@
 	})
 }
 
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	})
+}
+
 func counterVec(name, help, label string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: name,
@@ -70,19 +78,11 @@
 			"Starts sent by this leader, by what came of them.", "outcome"),
 		routes: counterVec("jasmineward_calls_to_targets_total",
 			"Calls to targets by this leader, by the way they took.", "way"),
-		runsEnded: counterVec("jasmineward_runs_ended_total", "Runs ended, by how.", "how"),
-		electionsWon: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jasmineward_elections_won_total",
-			Help: "How often this instance came to lead.",
-		}),
-		crashes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jasmineward_targets_crashed_total",
-			Help: "Targets that crashed under tasks, as seen by this leader.",
-		}),
-		jobsGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jasmineward_jobs_given_up_total",
-			Help: "Jobs that this leader gave up because targets crash under a task.",
-		}),
+		runsEnded:    counterVec("jasmineward_runs_ended_total", "Runs ended, by how.", "how"),
+		electionsWon: counter("jasmineward_elections_won_total", "How often this instance came to lead."),
+		crashes:      counter("jasmineward_targets_crashed_total", "Targets that crashed under tasks, as seen by this leader."),
+		jobsGivenUp:  counter("jasmineward_jobs_given_up_total", "Jobs that this leader gave up because targets crash under a task."),
+		adoptedRuns:  counter("jasmineward_runs_adopted_total", "Runs that may have outlived a replaced lifetime of their target."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -95,22 +95,16 @@
 			Name: "jasmineward_advice_backlog",
 			Help: "Requests for advice of the last decision, before calls were made.",
 		}),
-		adviceAnswers: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jasmineward_advice_answers_total",
-			Help: "Answers of the advisor to this leader.",
-		}),
-		adviceAnswersUsed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "jasmineward_advice_answers_used_total",
-			Help: "Answers of the advisor that a task was started with.",
-		}),
-		firstPlacement: histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
+		adviceAnswers:     counter("jasmineward_advice_answers_total", "Answers of the advisor to this leader."),
+		adviceAnswersUsed: counter("jasmineward_advice_answers_used_total", "Answers of the advisor that a task was started with."),
+		firstPlacement:    histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
 		decide: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "jasmineward_plan_seconds",
 			Help:    "Time of one decision.",
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -110,13 +110,7 @@
 
 // reportAbsent commits that a run is certain never to start.
 func (d *driver) reportAbsent(key runKey) {
-	err := d.commitEnds([]graph.RunEnd{{
-		Target:  d.target.ID,
-		Task:    key.task,
-		Run:     key.run,
-		Outcome: graph.OutcomeNeverStarted,
-	}})
-	if err != nil {
+	if err := d.commitEnds([]graph.RunEnd{d.endOf(key, graph.OutcomeNeverStarted)}); err != nil {
 		return
 	}
 	d.mu.Lock()
@@ -156,7 +150,9 @@
 			}
 			continue
 		}
-		d.setStartSent(key, true)
+		if !d.claimSend(key) {
+			break
+		}
 		err := d.callStart(Start{
 			Task:       key.task,
 			Run:        key.run,
@@ -170,20 +166,9 @@
 			return runStarted
 		}
 		arrived = arrived || mayHaveArrived(err)
-		d.setStartSent(key, arrived)
-		d.log.WithError(err).WithFields(logrus.Fields{
-			"job":  key.task.Job,
-			"task": key.task.Name(),
-			"run":  key.run,
-		}).Warn("target: start not taken")
-		switch {
-		case errors.Is(err, ErrFenced):
-			d.leader.fence()
-			return runUncertain
-		case errors.Is(err, ErrRefused) && !sent:
-			return runAbsent
-		case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherIncarnation):
-			return runUncertain
+		d.recordUntaken(key, arrived, err)
+		if state, final := d.stateAfter(err, sent); final {
+			return state
 		}
 		sent = true
 	}
@@ -193,6 +178,21 @@
 	return d.unsentState(key)
 }
 
+// stateAfter returns the state of a run whose start failed with the error, and whether
+// the start is not to be sent again. Sent says whether it had been sent before.
+func (d *driver) stateAfter(err error, sent bool) (state runState, final bool) {
+	switch {
+	case errors.Is(err, ErrFenced):
+		d.leader.fence()
+		return runUncertain, true
+	case errors.Is(err, ErrRefused) && !sent:
+		return runAbsent, true
+	case errors.Is(err, ErrRefused), errors.Is(err, ErrOtherIncarnation):
+		return runUncertain, true
+	}
+	return runUncertain, false
+}
+
 // mayHaveArrived reports whether the target's process may have received an order that
 // failed with the error.
 func mayHaveArrived(err error) bool {
--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -43,12 +43,38 @@
 // Outcomes and errors survive the encoding in a relay reply.
 func TestRelayPreservesOutcomes(t *testing.T) {
 	c := qt.New(t)
-	for _, want := range []error{nil, ErrNoAnswer, ErrDown, ErrFenced, ErrOtherIncarnation, ErrRefused} {
-		reply := OrderReply{Outcome: outcomeOf(want)}
+	for _, want := range []error{nil, ErrNoAnswer, ErrDown, ErrFenced, ErrOtherIncarnation, ErrOtherTarget, ErrRefused} {
+		var reply OrderReply
+		reply.setErr(want)
 		err := reply.err("a:1")
 		c.Check(errors.Is(err, want), qt.IsTrue)
 		c.Check(outcomeOf(err), qt.Equals, reply.Outcome)
+		c.Check(errors.Is(err, ErrOtherTarget), qt.Equals, errors.Is(want, ErrOtherTarget))
 	}
+	var reply OrderReply
+	reply.setErr(&RestartedError{Incarnation: 7})
+	var got *RestartedError
+	c.Assert(errors.As(reply.err("a:1"), &got), qt.IsTrue)
+	c.Check(got.Incarnation, qt.Equals, int64(7))
+	c.Check(errors.Is(reply.err("a:1"), ErrOtherIncarnation), qt.IsTrue)
+}
+
+// An instance of the last release must read the outcome of a relay of this one, and the
+// other way round. Its reply does not say which incarnation answered.
+func TestRelayOfLastRelease(t *testing.T) {
+	c := qt.New(t)
+	var reply OrderReply
+	reply.setErr(ErrOtherTarget)
+	c.Check(reply.Outcome, qt.Equals, outcomeOtherIncarnation)
+	old := OrderReply{
+		Outcome: outcomeOtherIncarnation,
+		Detail:  "another lifetime answered",
+	}
+	err := old.err("a:1")
+	c.Check(errors.Is(err, ErrOtherIncarnation), qt.IsTrue)
+	c.Check(errors.Is(err, ErrOtherTarget), qt.IsFalse)
+	var restarted *RestartedError
+	c.Check(errors.As(err, &restarted), qt.IsFalse)
 }
 
 // countingTargets is the fleet as called by one instance.
--- a/internal/push/relayed.go
+++ b/internal/push/relayed.go
@@ -147,14 +147,38 @@
 	Outcome outcome
 	// Detail is the error message of an order that failed.
 	Detail string
+	// Incarnation is the one that answered in place of the order's, or zero if it is
+	// not known. OtherTarget is true if another target answered.
+	Incarnation int64
+	OtherTarget bool
+}
+
+// setErr records the result of a failed order, for a reply to the leader.
+func (r *OrderReply) setErr(err error) {
+	r.Outcome = outcomeOf(err)
+	if err == nil {
+		return
+	}
+	r.Detail = err.Error()
+	r.OtherTarget = errors.Is(err, ErrOtherTarget)
+	var restarted *RestartedError
+	if errors.As(err, &restarted) {
+		r.Incarnation = restarted.Incarnation
+	}
 }
 
 // err returns the error for the outcome reported by the relay, or nil.
 func (r *OrderReply) err(relay string) error {
-	if err := r.Outcome.err(); err != nil {
-		return errors.Wrapf(err, "relay %s: %s", relay, r.Detail)
+	err := r.Outcome.err()
+	switch {
+	case err == nil:
+		return nil
+	case r.OtherTarget:
+		err = ErrOtherTarget
+	case r.Outcome == outcomeOtherIncarnation && r.Incarnation != 0:
+		err = &RestartedError{Incarnation: r.Incarnation}
 	}
-	return nil
+	return errors.Wrapf(err, "relay %s: %s", relay, r.Detail)
 }
 
 // dispatchOrder calls the method of Targets that matches the order.
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -110,6 +110,7 @@
 	if len(list.Ended) < maxListedEnds {
 		d.reconcile(sent, assignments, list)
 	}
+	d.removeOlder()
 	d.trackProgress(assignments, list)
 	d.clearSuspects(assignments)
 	d.adjustPace(assignments, list)
@@ -168,10 +169,8 @@
 	if !d.leader.canSendOrders() {
 		return false
 	}
-	// Only one process can have an address, so the process that had it before
-	// has ended.
-	if errors.Is(err, ErrOtherIncarnation) {
-		return d.leader.endIncarnations("another lifetime has its address", true, d.target.ID) == nil
+	if errors.Is(err, ErrOtherIncarnation) && d.handleReplacement(err) {
+		return true
 	}
 	d.mu.Lock()
 	d.failures++
--- /dev/null
+++ b/internal/push/replace.go
@@ -0,0 +1,243 @@
+package push
+
+import (
+	"slices"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/wire"
+)
+
+// A target may be started again under its id and address. Orders name only the id, so a
+// start that was meant for one incarnation may be carried out by the next, also late.
+// The runs of a replaced incarnation are therefore over only if this incarnation is
+// certain to be the one that had them. The next incarnation adopts the others: they stay
+// in the ledger until it lists them as ended, or has taken a stop and does not list them.
+
+// claimSend records that a start of the run is about to be sent. It returns false if
+// another incarnation has replaced the target, which must not get the start.
+func (d *driver) claimSend(key runKey) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.replaced {
+		return false
+	}
+	d.runInfo(key).startSent = true
+	return true
+}
+
+// recordUntaken logs and records the error of a start. Arrived says whether this or an earlier
+// start of the run may have reached the target.
+func (d *driver) recordUntaken(key runKey, arrived bool, err error) {
+	d.log.WithError(err).WithFields(logrus.Fields{
+		"job":  key.task.Job,
+		"task": key.task.Name(),
+		"run":  key.run,
+	}).Warn("target: start not taken")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.runInfo(key)
+	info.startSent = arrived
+	if mayBeCarriedOut(err) {
+		info.startLost = true
+	}
+}
+
+// mayBeCarriedOut reports whether an order that failed with the error may have been
+// carried out, or may still be, by whichever incarnation of the target.
+func mayBeCarriedOut(err error) bool {
+	switch {
+	case errors.Is(err, ErrDown), errors.Is(err, ErrOtherTarget):
+		return false
+	}
+	return errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrOtherIncarnation)
+}
+
+// canOutlive reports whether the run may be active in a later incarnation of the target.
+// It can't be if no start was sent, or if this incarnation listed the run and no other
+// start of it is left. The lock must be held.
+func (d *driver) canOutlive(key runKey) bool {
+	info := d.runInfo(key)
+	if info.startLost {
+		return true
+	}
+	return info.startSent && info.listedAt.IsZero()
+}
+
+// handleReplacement processes an answer of another incarnation or target to a renewal.
+// It returns false if the answer does not say which one, and the incarnation has runs
+// that the other may have taken: the target is then treated as one that does not answer.
+func (d *driver) handleReplacement(err error) bool {
+	// Only one process can have an address, so the process that had it before has
+	// ended.
+	if errors.Is(err, ErrOtherTarget) {
+		return d.leader.endIncarnations("another target has its address", true, d.target.ID) == nil
+	}
+	var restarted *RestartedError
+	if !errors.As(err, &restarted) || restarted.Incarnation < d.target.ID.Incarnation {
+		over, outliving := d.splitRuns(d.leader.scheduler.ledger.Assignments(d.target.ID))
+		d.log.WithFields(logrus.Fields{
+			"born":      d.target.ID.Incarnation,
+			"over":      len(over),
+			"uncertain": len(outliving),
+		}).WithError(err).Warn("target: an unknown lifetime answered")
+		return len(outliving) == 0 &&
+			d.leader.endIncarnations("another lifetime has its address", true, d.target.ID) == nil
+	}
+	next := d.target
+	next.ID.Incarnation = restarted.Incarnation
+	return d.leader.replaceByAnswer(next) == nil
+}
+
+// replaceByAnswer replaces the older incarnations of a target by one that has answered
+// an order. It may not have been announced yet.
+func (l *leader) replaceByAnswer(next graph.Target) *wire.Fault {
+	if fault := l.replaceOlder("another lifetime answered", next.ID); fault != nil {
+		return fault
+	}
+	l.mu.Lock()
+	l.newestIncarnation[next.ID.ID] = max(l.newestIncarnation[next.ID.ID], next.ID.Incarnation)
+	l.mu.Unlock()
+	if l.scheduler.ledger.RunCount(next.ID) > 0 {
+		l.ensureDriver(next)
+	}
+	return nil
+}
+
+// replaceOlder commits that the given incarnation has replaced all older ones of the
+// target. The runs that it may have taken for them stay in the ledger.
+func (l *leader) replaceOlder(why string, next graph.TargetID) *wire.Fault {
+	older := l.scheduler.ledger.OlderIncarnations(next)
+	if len(older) == 0 {
+		return nil
+	}
+	last := slices.MaxFunc(older, compareTargets)
+	assignments := l.scheduler.ledger.Assignments(last)
+	var over, outliving []graph.RunEnd
+	if d := l.driver(last); d != nil {
+		over, outliving = d.splitRuns(assignments)
+	} else {
+		outliving = l.endsOf(last, assignments)
+	}
+	if len(outliving) == 0 {
+		return l.endIncarnations(why, true, older...)
+	}
+	if !l.claimReplacement(last) {
+		return nil
+	}
+	if fault := l.commitReplacement(last, over); fault != nil {
+		l.mu.Lock()
+		delete(l.replaced, last)
+		l.mu.Unlock()
+		return fault
+	}
+	l.log.WithFields(logrus.Fields{
+		"target":    last.ID,
+		"born":      last.Incarnation,
+		"next":      next.Incarnation,
+		"why":       why,
+		"over":      runNames(over),
+		"uncertain": runNames(outliving),
+	}).Info("target: lifetime replaced")
+	l.scheduler.metrics.adoptedRuns.Add(float64(len(outliving)))
+	for _, id := range older {
+		l.removeDriver(id)
+	}
+	return nil
+}
+
+// claimReplacement returns true if the replacement of the incarnation has not been
+// committed by this leader and is not being committed.
+func (l *leader) claimReplacement(id graph.TargetID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.replaced[id] {
+		return false
+	}
+	l.replaced[id] = true
+	return true
+}
+
+// commitReplacement commits the crash of the replaced incarnation, and the ends of those
+// of its runs that are certain to be over with it.
+func (l *leader) commitReplacement(last graph.TargetID, over []graph.RunEnd) *wire.Fault {
+	if crashes := l.crashesOf([]graph.TargetID{last}); len(crashes) > 0 {
+		result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.EndIncarnations{Crashes: crashes}})
+		if fault != nil {
+			return fault
+		}
+		l.logFinished(result.Finished)
+		l.logCrashes(crashes)
+	}
+	if len(over) == 0 {
+		return nil
+	}
+	result, fault := l.propose(l.ctx, graph.Command{Events: &graph.Events{Ends: over}})
+	if fault != nil {
+		return fault
+	}
+	l.logFinished(result.Finished)
+	return nil
+}
+
+// splitRuns stops all further starts on the replaced target, and returns the ends of its
+// runs: those that are over with the incarnation, and those that may outlive it.
+func (d *driver) splitRuns(assignments []graph.Assignment) (over, outliving []graph.RunEnd) {
+	ends := d.leader.endsOf(d.target.ID, assignments)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.replaced = true
+	d.updateUsableUntil()
+	for _, end := range ends {
+		if d.canOutlive(keyOf(end.Task, end.Run)) {
+			outliving = append(outliving, end)
+		} else {
+			over = append(over, end)
+		}
+	}
+	return over, outliving
+}
+
+// endsOf returns the ends of all the runs with the target.
+func (l *leader) endsOf(id graph.TargetID, assignments []graph.Assignment) []graph.RunEnd {
+	ends := make([]graph.RunEnd, 0, len(assignments))
+	for _, assignment := range assignments {
+		ends = append(ends, graph.RunEnd{
+			Target:  l.scheduler.ledger.HolderOf(id, assignment.Task, assignment.Run),
+			Task:    assignment.Task,
+			Run:     assignment.Run,
+			Outcome: graph.OutcomeLeaseExpired,
+		})
+	}
+	return ends
+}
+
+// removeOlder commits that the older incarnations of the target are over once none of
+// their runs is left.
+func (d *driver) removeOlder() {
+	ledger := d.leader.scheduler.ledger
+	var over []graph.TargetID
+	for _, id := range ledger.OlderIncarnations(d.target.ID) {
+		if ledger.RunCount(id) == 0 {
+			over = append(over, id)
+		}
+	}
+	if len(over) == 0 {
+		return
+	}
+	if fault := d.leader.endIncarnations("its runs are over", false, over...); fault == nil {
+		d.log.WithField("born", d.target.ID.Incarnation).Info("target: holds no run of an older lifetime")
+	}
+}
+
+// runNames returns the names of the runs for log messages.
+func runNames(ends []graph.RunEnd) []string {
+	names := make([]string, 0, len(ends))
+	for _, end := range ends {
+		names = append(names, string(end.Task.Job)+"."+end.Task.RunName(end.Run))
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -157,10 +157,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
 	defer cancel()
 	value, err := dispatchOrder(ctx, c.scheduler.targets, args)
-	value.Outcome = outcomeOf(err)
-	if err != nil {
-		value.Detail = err.Error()
-	}
+	value.setErr(err)
 	reply.Value = value
 	return nil
 }
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -65,6 +65,9 @@
 	// the target first listed the run.
 	startSent bool
 	listedAt  time.Time
+	// startLost is true once a start was sent of which it is not known that this
+	// incarnation of the target carried it out or never will.
+	startLost bool
 	// percent is the last acknowledged pace or unknownPercent, and pacing is true
 	// while a new one is being sent.
 	percent  int
@@ -87,6 +90,17 @@
 	return assignments
 }
 
+// endOf returns the end of a run on the target, for the incarnation for which the
+// ledger has the run.
+func (d *driver) endOf(key runKey, outcome graph.RunOutcome) graph.RunEnd {
+	return graph.RunEnd{
+		Target:  d.leader.scheduler.ledger.HolderOf(d.target.ID, key.task, key.run),
+		Task:    key.task,
+		Run:     key.run,
+		Outcome: outcome,
+	}
+}
+
 // reconcile compares the runs in the ledger with the listing of the target, whose
 // request was sent at the given time. It starts and stops runs as needed, and
 // commits as absent those that are certain not to run.
@@ -98,12 +112,7 @@
 	var absent []graph.RunEnd
 	for key, assignment := range assignments {
 		if d.reconcileRun(assignment, key, running[key], sent) {
-			absent = append(absent, graph.RunEnd{
-				Target:  d.target.ID,
-				Task:    key.task,
-				Run:     key.run,
-				Outcome: graph.OutcomeNeverStarted,
-			})
+			absent = append(absent, d.endOf(key, graph.OutcomeNeverStarted))
 		}
 	}
 	unknown := 0
@@ -178,6 +187,12 @@
 		info.startSent = true
 		info.percent = unknownPercent
 	}
+	if d.adopted[key] {
+		info.state = runUncertain
+		info.startSent = true
+		info.startLost = true
+		info.percent = unknownPercent
+	}
 	d.runs[key] = info
 	return info
 }
--- a/internal/push/suspect.go
+++ b/internal/push/suspect.go
@@ -9,13 +9,6 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
-// setStartSent records whether a start of the run may have reached the target.
-func (d *driver) setStartSent(key runKey, sent bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.runInfo(key).startSent = sent
-}
-
 // crashesOf returns the crashes of those targets that have not announced that they
 // leave, with the tasks that may have caused them.
 func (l *leader) crashesOf(ids []graph.TargetID) []graph.Crash {
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,13 +25,32 @@
 	// ErrFenced means that the target has seen a higher fencing token.
 	ErrFenced = errors.New("fencing token is too old")
 	// ErrOtherIncarnation means that another incarnation of a target has the
-	// address now.
+	// address now. An order names the target but not its incarnation, so the other
+	// one may have carried it out.
 	ErrOtherIncarnation = errors.New("another lifetime answered")
+	// ErrOtherTarget is an ErrOtherIncarnation of another target, which carries out
+	// no order that names this one.
+	ErrOtherTarget = errors.Wrap(ErrOtherIncarnation, "another target has the address")
 	// ErrRefused means that the target has not carried out the order and will
 	// not.
 	ErrRefused = errors.New("target refused the order")
 )
 
+// RestartedError is an ErrOtherIncarnation that tells which incarnation answered.
+type RestartedError struct {
+	Incarnation int64
+}
+
+// Error returns the error's text.
+func (e *RestartedError) Error() string {
+	return fmt.Sprintf("%s: %d", ErrOtherIncarnation, e.Incarnation)
+}
+
+// Unwrap returns ErrOtherIncarnation.
+func (e *RestartedError) Unwrap() error {
+	return ErrOtherIncarnation
+}
+
 // Clock is a reading of a target's monotonic clock.
 type Clock time.Duration
 
--- a/internal/push/timing.go
+++ b/internal/push/timing.go
@@ -6,6 +6,8 @@
 type Timing struct {
 	// TTL is the length of a target's lease, by the target's clock.
 	TTL time.Duration
+	// MaxLease is the longest lease that a target grants, whatever its deadline.
+	MaxLease time.Duration
 	// ClockDrift is the fraction by which a target's clock may be slow.
 	ClockDrift float64
 	// LeaseMargin is added to every wait for a lease to expire.
@@ -35,6 +37,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		TTL:             4500 * time.Millisecond,
+		MaxLease:        10 * time.Second,
 		ClockDrift:      0.03,
 		LeaseMargin:     400 * time.Millisecond,
 		RenewalWait:     1200 * time.Millisecond,
