Acknowledge an end only right after it was listed

What callers would see: a task that was done runs once more (TWICE).

Cause: each renewal carried the number of the last committed end. A process that was started again under the target's id counts its ends from one, so it forgot ends that nobody had seen, and its runs were in neither list.

Change: a renewal acknowledges ends once, after the answer that listed them, and none while the target does not answer. Zero acknowledges nothing.

Measured: TestEndOfNextIncarnationIsNotAcknowledgedUnseen fails 3 of 3 before the change, as the end never comes, and passes 3 of 3 after it.

--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -124,8 +124,12 @@
 		Wait:  d.leader.scheduler.timing.RenewalWait,
 	}
 	d.mu.Lock()
-	renewal.Acked = d.committedSeq
 	unanswered := d.failures > 0
+	// Ends are acknowledged once, right after the answer that listed them: by the time
+	// of a later renewal, another incarnation with other ends may get it.
+	if !unanswered && d.ackedSeq < d.committedSeq {
+		renewal.Acked = d.committedSeq
+	}
 	switch {
 	case !d.contacted || unanswered:
 		renewal.Wait = 0
--- a/internal/push/replace_test.go
+++ b/internal/push/replace_test.go
@@ -194,3 +194,29 @@
 		return d != nil && d.usable(time.Now())
 	})
 }
+
+// A renewal must acknowledge no end that the process which gets it has not listed: the
+// numbers of ends begin anew with each incarnation. A process that was started again
+// under its id forgot the end of a task that was done, which then ran once more.
+func TestEndOfNextIncarnationIsNotAcknowledgedUnseen(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.waitContacted("w0")
+	s.submit("a", tasks(3))
+	s.waitCompleted("a")
+	s.eventually(waitTimeout, "ends are acknowledged", func() bool {
+		left := 0
+		s.fleet.withLock(func() { left = len(s.fleet.targets["w0"].ended) })
+		return left == 0
+	})
+	time.Sleep(s.scheduler.timing.RenewalWait)
+	s.restartSilently("w0", 2)
+	s.submit("b", tasks(1))
+	s.eventually(waitTimeout, "new process has run the task", func() bool {
+		seq := uint64(0)
+		s.fleet.withLock(func() { seq = s.fleet.targets["w0"].seq })
+		return seq == 1
+	})
+	s.announce("w0", 2)
+	s.waitCompleted("b")
+	s.c.Check(s.sentRuns("b"), qt.Equals, uint32(1))
+}
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -81,7 +81,7 @@
 	Deadline Clock
 	Token    uint64
 	// Acked is the number of the last committed end, which need not be listed
-	// again.
+	// again. Zero acknowledges none.
 	Acked uint64
 	// Wait is how long the target may delay the answer to wait for an end.
 	Wait time.Duration
