Take a run that is listed no more for absent only after it stayed so

What callers would see: a task at work on two targets until its stop is done (TWICE).

Cause: a run that is being stopped is in neither list of its target. The wait for its end began with the last change that the driver made to it. If the stop was carried out and its answer lost, that was its start, long ago, so the first list without it made it absent.

Change: without an answer to a stop, the wait begins with the first list that lacks the run. Such a target is asked again soon.

--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -50,6 +50,8 @@
 	// delayedStarts is the number of further starts that are carried out late and
 	// not answered.
 	delayedStarts int
+	// lostStops is the number of further stops that are carried out and not answered.
+	lostStops int
 	// lostRunLists is the number of further listings with ends that are lost in
 	// transit.
 	lostRunLists int
@@ -220,6 +222,10 @@
 	if r := target.running[order.Task]; r != nil && r.stopsAt.IsZero() {
 		r.stopsAt = time.Now().Add(f.stopDelay)
 	}
+	if target.lostStops > 0 {
+		target.lostStops--
+		return 0, ErrNoAnswer
+	}
 	return target.clock(), nil
 }
 
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -124,6 +124,7 @@
 	info := d.runInfo(key)
 	info.state = state
 	info.changedAt = time.Now()
+	info.unlistedAt = time.Time{}
 }
 
 // sendStart sends the start until it is answered or the attempts are used up, and
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -151,7 +151,7 @@
 // should resolve soon. The lock must be held.
 func (d *driver) hasUncertainRuns() bool {
 	for _, info := range d.runs {
-		if info.state == runUncertain || info.state == runStopped || info.state == runAbsent {
+		if info.state == runUncertain || info.state == runStopped || info.state == runAbsent || !info.unlistedAt.IsZero() {
 			return true
 		}
 	}
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -65,6 +65,9 @@
 	// the target first listed the run.
 	startSent bool
 	listedAt  time.Time
+	// unlistedAt is when the target answered with the first list without the run since
+	// it listed the run or its state changed.
+	unlistedAt time.Time
 	// startLost is true once a start was sent of which it is not known that this
 	// incarnation of the target carried it out or never will.
 	startLost bool
@@ -144,12 +147,7 @@
 func (d *driver) reconcileRun(assignment graph.Assignment, key runKey, listed bool, sent time.Time) bool {
 	d.mu.Lock()
 	info := d.runInfo(key)
-	if listed && info.listedAt.IsZero() {
-		info.listedAt = time.Now()
-	}
-	if listed && info.state != runStopped && info.state != runSending {
-		info.state = runStarted
-	}
+	unlistedAt := info.updateListed(listed)
 	state, since := info.state, sent.Sub(info.changedAt)
 	d.mu.Unlock()
 	switch {
@@ -162,14 +160,36 @@
 		d.stop(key)
 	case state == runAbsent:
 		return since > 0
-	case state == runStopped, state == runStarted:
-		// A run that is ending may be in neither list, until its end is listed.
-		// It is absent only if it stays unlisted longer than that.
+	// A run that is ending may be in neither list, until its end is listed. It is absent
+	// only if it stays unlisted longer than that: after the answer to its stop, or else
+	// after the first list without it, as a stop may be carried out without an answer.
+	case state == runStopped:
 		return since > d.leader.scheduler.timing.StopSettleTime
+	case state == runStarted:
+		return sent.Sub(unlistedAt) > d.leader.scheduler.timing.StopSettleTime
 	}
 	return false
 }
 
+// updateListed records whether the target lists the run, and returns when it answered
+// with the first list without it.
+func (r *runInfo) updateListed(listed bool) time.Time {
+	now := time.Now()
+	switch {
+	case !listed && r.unlistedAt.IsZero():
+		r.unlistedAt = now
+	case listed:
+		r.unlistedAt = time.Time{}
+	}
+	if listed && r.listedAt.IsZero() {
+		r.listedAt = now
+	}
+	if listed && r.state != runStopped && r.state != runSending {
+		r.state = runStarted
+	}
+	return r.unlistedAt
+}
+
 // runInfo returns the state of the run, and creates it if there is none. The lock
 // must be held.
 func (d *driver) runInfo(key runKey) *runInfo {
