Take a target that leaves for ended only once it has ended

Cause: the message with which a target leaves was taken for the end of its runs, though the target ends only once it has the answer. A message without an incarnation was taken for the process that has the id now.

Evidence: 'target: lifetime over' with why 'target left' comes before the placement of run 2, and the stand-in's run 1 ends a second later, when the repeated call is answered.

Change: the message commits that the target leaves, and its runs are stopped. They are over when they are listed as ended, when a connection to the target is refused, or with its lease. A message without an incarnation counts only for a target that has announced that it leaves. A new leader gives no driver to a target that has left meanwhile. Commands and stored state are as before.

--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -245,18 +245,6 @@
 	return nil
 }
 
-// handleLeave ends an incarnation that has reported that all its runs are over.
-// Incarnation zero stands for the newest known incarnation.
-func (l *leader) handleLeave(id graph.TargetID) *wire.Fault {
-	if id.Incarnation == 0 {
-		id.Incarnation = l.currentIncarnation(id.ID)
-	}
-	l.mu.Lock()
-	l.endedIncarnations[id] = true
-	l.mu.Unlock()
-	return l.endIncarnations("target left", false, id)
-}
-
 func (l *leader) currentIncarnation(id string) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -56,8 +56,13 @@
 	// of those that the target's process may have taken for an older incarnation.
 	inherited map[runKey]bool
 	adopted   map[runKey]bool
-	// replaced is true once another incarnation of the target is known to run.
-	replaced       bool
+	// retired is true once another incarnation of the target is known to run, or the
+	// target has left: it gets no start and no longer lease.
+	retired bool
+	// left is true once the target has said that it ends, and ending while the end is
+	// being committed.
+	left           bool
+	ending         bool
 	paceController pace.Controller
 	// usableUntil is a time.Duration since the leader's start, by the monotonic
 	// clock.
@@ -170,11 +175,11 @@
 // extendLease returns the lease deadline for an order sent now, by the target's
 // clock, and extends leaseExpiry to cover it. It returns zero, and extends nothing,
 // while the target's clock is unknown, while the target does not answer and once it is
-// replaced, so that the lease of a lost target expires.
+// retired, so that the lease of a lost target expires.
 func (d *driver) extendLease() Clock {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.failures > 0 || d.replaced {
+	if d.failures > 0 || d.retired {
 		return 0
 	}
 	now := time.Now()
@@ -201,7 +206,7 @@
 // news. The lock must be held.
 func (d *driver) updateUsableUntil() {
 	var until time.Duration
-	if d.contacted && d.failures == 0 && !d.replaced && !d.clockAt.IsZero() {
+	if d.contacted && d.failures == 0 && !d.retired && !d.clockAt.IsZero() {
 		until = d.heartbeatAt.Add(d.leader.scheduler.timing.MaxHeartbeatAge).Sub(d.leader.started)
 	}
 	d.usableUntil.Store(int64(until))
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -124,7 +124,9 @@
 	l.goroutines.Go(func() {
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
-			if t.ID.Incarnation == l.currentIncarnation(t.ID.ID) {
+			// The target may have left or been replaced during the checks.
+			_, known := l.scheduler.ledger.Target(t.ID)
+			if known && t.ID.Incarnation == l.currentIncarnation(t.ID.ID) {
 				l.ensureDriver(t)
 			}
 		}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -288,6 +288,9 @@
 		d.leader.fence()
 		return
 	}
+	if d.endIfGone(err) {
+		return
+	}
 	if err != nil {
 		d.log.WithError(err).WithField("task", key.task.Name()).Warn("target: stop not taken")
 		return
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -15,6 +15,9 @@
 	renewalTimeoutMargin = 300 * time.Millisecond
 	// renewalRetryDelay is the pause after a failed renewal.
 	renewalRetryDelay = 60 * time.Millisecond
+	// leftRetryDelay is the pause after a failed renewal of a target that has left. Its
+	// address refuses connections only until its machine is gone as well.
+	leftRetryDelay = 5 * time.Millisecond
 	// idleInterval is how often a target without runs is checked.
 	idleInterval = 10 * time.Second
 	// maxListedEnds is the maximum number of ends in one listing of a target.
@@ -32,6 +35,9 @@
 // and ends the incarnation when the lease expires without an answer.
 func (d *driver) renewLoop() {
 	for d.ctx.Err() == nil {
+		if d.endIfLeft() {
+			return
+		}
 		if d.idle(d.leader.scheduler.ledger.RunCount(d.target.ID)) {
 			d.waitIdle()
 			continue
@@ -49,12 +55,22 @@
 		if d.handleRenewalFailure(err) {
 			return
 		}
-		if !group.SleepContext(d.ctx, renewalRetryDelay) {
+		if !group.SleepContext(d.ctx, d.retryDelay()) {
 			return
 		}
 	}
 }
 
+// retryDelay returns the pause after a failed renewal.
+func (d *driver) retryDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.left {
+		return leftRetryDelay
+	}
+	return renewalRetryDelay
+}
+
 // idle reports whether the target has answered, has no runs and has no ends to be
 // acknowledged.
 func (d *driver) idle(runs int) bool {
@@ -176,6 +192,9 @@
 	if errors.Is(err, ErrOtherIncarnation) && d.handleReplacement(err) {
 		return true
 	}
+	if d.endIfGone(err) {
+		return true
+	}
 	d.mu.Lock()
 	d.failures++
 	d.down = d.down || errors.Is(err, ErrDown)
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -21,7 +21,7 @@
 func (d *driver) claimSend(key runKey) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.replaced {
+	if d.retired {
 		return false
 	}
 	d.runInfo(key).startSent = true
@@ -188,7 +188,7 @@
 	ends := d.leader.endsOf(d.target.ID, assignments)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.replaced = true
+	d.retired = true
 	d.updateUsableUntil()
 	for _, end := range ends {
 		if d.canOutlive(keyOf(end.Task, end.Run)) {
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -149,12 +149,13 @@
 	info := d.runInfo(key)
 	unlistedAt := info.updateListed(listed)
 	state, since := info.state, sent.Sub(info.changedAt)
+	wanted := assignment.Desired && !d.left
 	d.mu.Unlock()
 	switch {
-	case listed && !assignment.Desired:
+	case listed && !wanted:
 		d.stop(key)
 	case listed, state == runSending, state == runPlaced && since < startSendGrace:
-	case state == runUnknown && assignment.Desired, state == runPlaced && assignment.Desired:
+	case state == runUnknown && wanted, state == runPlaced && wanted:
 		d.start(key.task, key.run, "")
 	case state == runUnknown, state == runUncertain, state == runPlaced:
 		d.stop(key)
