Let only its owner cancel a job through a path that no queue has

Cause: a cancel passed where the address names no queue, so that jobs of a removed queue can be cancelled. Key and client account were looked at only with a queue. By the test the fault was wider than the case: a path that was never a queue's, and a job of a queue that is in force, did as well.

The leader asks before it proposes a cancel, which then has no address. Replicas of the last release apply such a cancel as this one does, so a mixed cell agrees. Refused cancels have a line and a metric.

Kin looked at: the product's own interface finds jobs only within the scope of the caller's key.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -45,6 +45,8 @@
 
 // Cancel cancels a job. Its active runs are stopped.
 type Cancel struct {
+	// Address is empty if the proposer has checked that the caller may cancel the
+	// job. Earlier releases set it.
 	Address Address
 	ID      JobID
 }
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -653,3 +653,21 @@
 	c.Check(l.AssignmentOf(w0, ref, 2).Desired, qt.IsFalse)
 	c.Check(l.AssignmentOf(w1, ref, 2).Desired, qt.IsTrue)
 }
+
+// A cancel that its proposer has checked has no address, and one with an address is from
+// an earlier release. A replica of that release must apply both as this one does.
+func TestCheckedCancelNeedsNoAddress(t *testing.T) {
+	c, l := qt.New(t), newTestLedger()
+	submitJob(l, "a", singleTaskStep())
+	submitJob(l, "b", singleTaskStep())
+	c.Check(l.CheckCancel(Address{}, "a"), qt.Equals, RefusedKey)
+	c.Check(l.CheckCancel(testAddress, "none"), qt.Equals, RefusedNoJob)
+	c.Check(l.CheckCancel(testAddress, "a"), qt.Equals, Refusal(""))
+	c.Check(l.Apply(Command{Cancel: &Cancel{ID: "a"}}).Refusal, qt.Equals, Refusal(""))
+	c.Check(l.IsLive("a"), qt.IsFalse)
+	c.Check(l.Apply(Command{Cancel: &Cancel{
+		Address: testAddress,
+		ID:      "b",
+	}}).Refusal, qt.Equals, Refusal(""))
+	c.Check(l.IsLive("b"), qt.IsFalse)
+}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -79,11 +79,20 @@
 	return b.String()
 }
 
+// cancelJob cancels a job if the caller may do so.
 func (l *leader) cancelJob(ctx context.Context, q *JobQuery) (Answer, *wire.Fault) {
-	result, fault := l.propose(ctx, graph.Command{Cancel: &graph.Cancel{
-		Address: q.Address,
-		ID:      q.ID,
-	}})
+	refusal := l.scheduler.ledger.CheckCancel(q.Address, q.ID)
+	l.scheduler.metrics.cancels.WithLabelValues(string(refusal)).Inc()
+	if refusal != "" {
+		l.log.WithFields(logrus.Fields{
+			"job":     q.ID,
+			"queue":   q.Address.Host + q.Address.Path,
+			"key":     q.Address.Key != "",
+			"refusal": refusal,
+		}).Info("admit: cancel refused")
+		return Answer{Refusal: refusal}, nil
+	}
+	result, fault := l.propose(ctx, graph.Command{Cancel: &graph.Cancel{ID: q.ID}})
 	if fault != nil {
 		return Answer{}, fault
 	}
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -20,6 +20,7 @@
 	registry      *prometheus.Registry
 	leading       prometheus.Gauge
 	submits       *prometheus.CounterVec
+	cancels       *prometheus.CounterVec
 	orders        *prometheus.CounterVec
 	routes        *prometheus.CounterVec
 	runsEnded     *prometheus.CounterVec
@@ -74,6 +75,8 @@
 		}),
 		submits: counterVec("jasmineward_submits_total",
 			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
+		cancels: counterVec("jasmineward_cancels_total",
+			"Cancels decided by this leader, by refusal; empty is allowed.", "refusal"),
 		orders: counterVec("jasmineward_orders_total",
 			"Starts sent by this leader, by what came of them.", "outcome"),
 		routes: counterVec("jasmineward_calls_to_targets_total",
@@ -104,7 +107,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
