Keep the settings of a removed queue for its jobs

Cause: the number of attempts was looked up in the configuration in force, and one was allowed where the queue is not in it. Tickets and priority were lost the same way, so waiting tasks of such a job could not start.

Evidence: one 'runs ended' with how failed stands before 'job: over', in the time between the two 'config: in force' that lack and have the queue.

Change: a configuration keeps the queues that it removes, as retired ones that match no address, until their last job is over. The leader adds them before it proposes the configuration, and proposes one at a time.

--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -13,7 +13,8 @@
 // Config is a complete configuration of queues, services and client accounts.
 // The highest version is in force.
 type Config struct {
-	Version        int64
+	Version int64
+	// Queues has the retired queues as well, once the configuration is in force.
 	Queues         []Queue
 	Services       []Service
 	ClientAccounts []ClientAccount `cbor:"Tenants"`
@@ -43,6 +44,8 @@
 	Advice *AdviceTiming
 	// Open queues accept requests without a known key.
 	Open bool
+	// Former is the address of a retired queue before a configuration removed it.
+	Former *QueueAddress `cbor:",omitempty"`
 }
 
 // AdviceTiming describes the response time of the advisor and the validity of
@@ -161,9 +164,12 @@
 	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
+		x.queues[q.Name] = q
+		if q.IsRetired() {
+			continue
+		}
 		host := strings.ToLower(q.Host)
 		x.hosts[host] = append(x.hosts[host], q)
-		x.queues[q.Name] = q
 	}
 	for _, queues := range x.hosts {
 		sort.SliceStable(queues, func(i, j int) bool {
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -115,6 +115,14 @@
 		fault.NoteErrors = faults
 		return fault
 	}
+	// The queues that a configuration removes are found in the one before it, so one is
+	// committed after the other.
+	select {
+	case l.configuring <- struct{}{}:
+	case <-ctx.Done():
+		return wire.NewFault(wire.CodeUnavailable, "another configuration is being committed")
+	}
+	defer func() { <-l.configuring }()
 	if current := l.scheduler.ledger.Config(); current != nil && current.Version >= c.Version {
 		l.log.WithFields(logrus.Fields{
 			"version":  c.Version,
@@ -122,10 +130,14 @@
 		}).Info("config: no newer than the one in force")
 		return nil
 	}
+	c, retired := l.scheduler.ledger.WithRetiredQueues(c)
 	if _, fault := l.propose(ctx, graph.Command{Config: c}); fault != nil {
 		return fault
 	}
-	l.log.WithField("version", c.Version).Info("config: in force")
+	l.log.WithFields(logrus.Fields{
+		"version": c.Version,
+		"retired": retired,
+	}).Info("config: in force")
 	l.wakeDecisionLoop()
 	return nil
 }
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -65,6 +65,8 @@
 	mu      sync.Mutex
 	targets map[string]*fakeTarget
 	runTime time.Duration
+	// failedRuns is the highest run number of a task that ends as failed.
+	failedRuns uint32
 	// stopDelay is how long a run that is being stopped is in neither list.
 	stopDelay time.Duration
 	// startDelay is the delay of the starts counted by delayedStarts.
@@ -107,6 +109,8 @@
 			f.end(t, ref, r.run, graph.OutcomeLeaseExpired)
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			f.end(t, ref, r.run, graph.OutcomeStopped)
+		case now.After(r.endsAt) && r.run <= f.failedRuns:
+			f.end(t, ref, r.run, graph.OutcomeFailed)
 		case now.After(r.endsAt):
 			f.end(t, ref, r.run, graph.OutcomeDone)
 		}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -73,6 +73,9 @@
 	// committed, that a later one of the target has replaced them.
 	replaced map[graph.TargetID]bool
 
+	// configuring is a semaphore that is held while a configuration is being committed.
+	configuring chan struct{}
+
 	fenced     atomic.Bool
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -100,6 +103,7 @@
 		newestIncarnation: map[string]int64{},
 		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
 		endedIncarnations: map[graph.TargetID]bool{},
+		configuring:       make(chan struct{}, 1),
 		replaced:          map[graph.TargetID]bool{},
 		ctx:               ctx,
 		cancel:            cancel,
