--- a/internal/push/cancel_test.go
+++ b/internal/push/cancel_test.go
@@ -80,3 +80,66 @@
 	s.c.Check(s.scheduler.ledger.IsLive("a"), qt.IsFalse)
 	s.eventually(waitTimeout, "task is stopped", func() bool { return s.runCount("w0") == 0 })
 }
+
+// The owner of a job must be able to cancel it once its queue has become open, as calls
+// then carry no key. The job's client account was still asked for, and the call answered
+// as if there were no such job, while its task ran on.
+func TestJobOfQueueMadeOpenIsCancelledWithoutKey(t *testing.T) {
+	for _, name := range []string{"", "renamed"} {
+		s := newFixture(t, false, "w0")
+		s.fleet.runTime = time.Hour
+		open, other := s.defaultQueue(), s.defaultQueue()
+		open.Open = true
+		if name != "" {
+			open.Name = name
+		}
+		other.Name, other.Prefix, other.Open = "other", "/other/", true
+		s.submit("a", tasks(1))
+		s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+		s.configureQueues(2, open, other)
+		s.c.Check(s.cancel("/other/a", "", "a"), qt.Equals, graph.RefusedNoJob)
+		s.c.Check(s.cancel("/other/a", "l", "a"), qt.Equals, graph.RefusedNoJob)
+		s.c.Check(s.cancel("/q/a", "", "none"), qt.Equals, graph.RefusedNoJob)
+		s.c.Check(s.scheduler.ledger.IsLive("a"), qt.IsTrue)
+		s.c.Check(s.cancel("/q/a", "", "a"), qt.Equals, graph.Refusal(""))
+		s.c.Check(s.scheduler.ledger.IsLive("a"), qt.IsFalse)
+		s.eventually(waitTimeout, "task is stopped", func() bool { return s.runCount("w0") == 0 })
+	}
+}
+
+// A job that was handed in to an open queue without a key has no owner that could be
+// told by one. It is cancelled by a call to its queue's address, also once the queue is
+// closed or removed, and by no call to another.
+func TestJobWithoutOwnerIsCancelledAtItsQueue(t *testing.T) {
+	s := newFixture(t, false)
+	open, other := s.defaultQueue(), s.defaultQueue()
+	open.Open = true
+	other.Name, other.Prefix, other.Open = "other", "/other/", true
+	s.configureQueues(2, open, other)
+	for _, id := range []graph.JobID{"a", "b"} {
+		answer, fault := s.scheduler.Submit(s.ctx(), &graph.Submit{
+			Address: graph.Address{
+				Host: "h",
+				Path: "/q/" + string(id),
+			},
+			ID:   id,
+			Spec: graph.Spec{Steps: []graph.Step{tasks(1)}},
+		})
+		s.c.Assert(fault == nil && answer.Refusal == "", qt.IsTrue)
+	}
+	s.c.Check(s.cancel("/other/a", "", "a"), qt.Equals, graph.RefusedNoJob)
+	s.c.Check(s.cancel("/other/a", "k", "a"), qt.Equals, graph.RefusedNoJob)
+	s.configureQueues(3, s.closedQueue(open), other)
+	s.c.Check(s.cancel("/q/a", "", "a"), qt.Equals, graph.RefusedKey)
+	s.c.Check(s.cancel("/q/a", "k", "a"), qt.Equals, graph.Refusal(""))
+	s.configureQueues(4, open, other)
+	s.configureQueues(5, other)
+	s.c.Check(s.cancel("/gone/b", "", "b"), qt.Equals, graph.RefusedKey)
+	s.c.Check(s.cancel("/q/b", "", "b"), qt.Equals, graph.Refusal(""))
+}
+
+// closedQueue returns the queue as one that is not open.
+func (s *fixture) closedQueue(queue graph.Queue) graph.Queue {
+	queue.Open = false
+	return queue
+}
