Read the ledger without the driver's lock when ends are listed

What callers would see: a leader that makes no more decisions, for good.

Cause: the ends that a target lists were looked up in the ledger with the driver's lock held. A decision takes that lock while it reads the ledger; with a command waiting to be applied, each waited for the other.

Change: the lookup is made without the lock. A target is asked again early only for a run that it had taken and lists no more, not for one whose start is just being sent.

Measured: the new case 'listed ends' of TestDecisionIsNotBlocked hung until the time limit of 10 minutes before the change, and passes after it.

--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -10,11 +10,13 @@
 
 // commitListedEnds commits those of the listed ends that are not yet committed.
 func (d *driver) commitListedEnds(ended []EndedRun) error {
-	var ends []graph.RunEnd
 	d.mu.Lock()
-	last := d.committedSeq
+	committed := d.committedSeq
+	d.mu.Unlock()
+	last := committed
+	var ends []graph.RunEnd
 	for _, run := range ended {
-		if run.Seq <= d.committedSeq {
+		if run.Seq <= committed {
 			continue
 		}
 		last = max(last, run.Seq)
@@ -22,7 +24,6 @@
 		end.Checkpoint = run.Checkpoint
 		ends = append(ends, end)
 	}
-	d.mu.Unlock()
 	if len(ends) == 0 {
 		return nil
 	}
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -203,6 +203,10 @@
 // applied, which keeps new readers out, each waited for the other.
 func TestDecisionIsNotBlocked(t *testing.T) {
 	step := plan.StepKey{Job: "ended"}
+	w0 := graph.TargetID{
+		ID:          "w0",
+		Incarnation: 1,
+	}
 	cases := []struct {
 		name string
 		// byOther reads the ledger on another goroutine, and byDecision takes the
@@ -247,6 +251,33 @@
 			},
 			byDecision: func(l *leader) { l.rater.Speed(graph.TargetID{ID: "w0"}) },
 		},
+		{
+			name: "listed ends",
+			byOther: func(l *leader) {
+				_ = l.driver(w0).commitListedEnds([]EndedRun{{
+					Seq:     1,
+					Task:    graph.TaskRef{Job: "ended"},
+					Run:     1,
+					Outcome: graph.OutcomeDone,
+				}})
+			},
+			byDecision: func(l *leader) { l.expectedEnd(w0, graph.TaskRef{Job: "ended"}, 1) },
+		},
+		{
+			name: "replaced target",
+			byOther: func(l *leader) {
+				l.driver(w0).splitRuns([]graph.Assignment{{
+					Task: graph.TaskRef{Job: "ended"},
+					Run:  1,
+				}})
+			},
+			byDecision: func(l *leader) { l.expectedEnd(w0, graph.TaskRef{Job: "ended"}, 1) },
+		},
+		{
+			name:       "target that leaves",
+			byOther:    func(l *leader) { l.driver(w0).leave() },
+			byDecision: func(l *leader) { l.expectedEnd(w0, graph.TaskRef{Job: "ended"}, 1) },
+		},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -167,8 +167,13 @@
 // should resolve soon. The lock must be held.
 func (d *driver) hasUncertainRuns() bool {
 	for _, info := range d.runs {
-		if info.state == runUncertain || info.state == runStopped || info.state == runAbsent || !info.unlistedAt.IsZero() {
+		switch info.state {
+		case runUncertain, runStopped, runAbsent:
 			return true
+		case runStarted:
+			if !info.unlistedAt.IsZero() {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -94,7 +94,8 @@
 }
 
 // endOf returns the end of a run on the target, for the incarnation for which the
-// ledger has the run.
+// ledger has the run. The driver's lock must not be held: a decision takes it while it
+// reads the ledger.
 func (d *driver) endOf(key runKey, outcome graph.RunOutcome) graph.RunEnd {
 	return graph.RunEnd{
 		Target:  d.leader.scheduler.ledger.HolderOf(d.target.ID, key.task, key.run),
