--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -45,7 +45,7 @@
 	// Open queues accept requests without a known key.
 	Open bool
 	// Former is the address of a retired queue before a configuration removed it.
-	Former *QueueAddress `cbor:",omitempty"`
+	Former *QueueAddress `cbor:",omitempty" json:",omitempty"`
 }
 
 // AdviceTiming describes the response time of the advisor and the validity of
