--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -419,7 +419,12 @@
 // startDefaultTarget starts an incarnation of a target with default capacity,
 // and sends its heartbeats while it is not silent.
 func (s *fixture) startDefaultTarget(name string, incarnation int64) {
-	s.startTarget(graph.Announcement{
+	s.startTarget(defaultAnnouncement(name, incarnation))
+}
+
+// defaultAnnouncement returns the announcement of a target with default capacity.
+func defaultAnnouncement(name string, incarnation int64) graph.Announcement {
+	return graph.Announcement{
 		ID: graph.TargetID{
 			ID:          name,
 			Incarnation: incarnation,
@@ -430,18 +435,23 @@
 			CPU:    4000,
 			Memory: 4000,
 		},
-	})
+	}
 }
 
-// startTarget starts an incarnation of a target with the given announcement,
-// and sends its heartbeats while it is not silent.
-func (s *fixture) startTarget(announcement graph.Announcement) {
-	target := &fakeTarget{
+// newFakeTarget returns a target that has just started.
+func newFakeTarget(incarnation int64) *fakeTarget {
+	return &fakeTarget{
 		startedAt:   time.Now(),
-		incarnation: announcement.ID.Incarnation,
+		incarnation: incarnation,
 		running:     map[graph.TaskRef]*fakeRun{},
 		highestRun:  map[graph.TaskRef]uint32{},
 	}
+}
+
+// startTarget starts an incarnation of a target with the given announcement,
+// and sends its heartbeats while it is not silent.
+func (s *fixture) startTarget(announcement graph.Announcement) {
+	target := newFakeTarget(announcement.ID.Incarnation)
 	s.fleet.withLock(func() { s.fleet.targets[announcement.ID.ID] = target })
 	sendHeartbeat := func() {
 		var clock Clock
--- a/internal/push/leave.go
+++ b/internal/push/leave.go
@@ -101,7 +101,7 @@
 }
 
 // endLeft ends the incarnation of a target that has left. It returns false if that is not
-// committed, or is being committed by another call.
+// committed, or if another call is committing it: several orders may fail at once.
 func (d *driver) endLeft() bool {
 	d.mu.Lock()
 	ending := d.ending
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -16,8 +16,8 @@
 // certain to be the one that had them. The next incarnation adopts the others: they stay
 // in the ledger until it lists them as ended, or has taken a stop and does not list them.
 
-// claimSend records that a start of the run is about to be sent. It returns false if
-// another incarnation has replaced the target, which must not get the start.
+// claimSend records that a start of the run is about to be sent. It returns false if the
+// driver is retired, so that no start is sent after its runs have been counted.
 func (d *driver) claimSend(key runKey) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -28,8 +28,8 @@
 	return true
 }
 
-// recordUntaken logs and records the error of a start. Arrived says whether this or an earlier
-// start of the run may have reached the target.
+// recordUntaken logs and records the error of a start. Arrived says whether this start of
+// the run or an earlier one may have reached the target.
 func (d *driver) recordUntaken(key runKey, arrived bool, err error) {
 	d.log.WithError(err).WithFields(logrus.Fields{
 		"job":  key.task.Job,
@@ -107,7 +107,8 @@
 }
 
 // replaceOlder commits that the given incarnation has replaced all older ones of the
-// target. The runs that it may have taken for them stay in the ledger.
+// target. The runs that it may have taken for them stay in the ledger, for the driver of
+// the given incarnation to adopt.
 func (l *leader) replaceOlder(why string, next graph.TargetID) *wire.Fault {
 	older := l.scheduler.ledger.OlderIncarnations(next)
 	if len(older) == 0 {
@@ -182,7 +183,7 @@
 	return nil
 }
 
-// splitRuns stops all further starts on the replaced target, and returns the ends of its
+// splitRuns retires the driver of a replaced incarnation, and returns the ends of its
 // runs: those that are over with the incarnation, and those that may outlive it.
 func (d *driver) splitRuns(assignments []graph.Assignment) (over, outliving []graph.RunEnd) {
 	ends := d.leader.endsOf(d.target.ID, assignments)
--- a/internal/push/replace_test.go
+++ b/internal/push/replace_test.go
@@ -7,20 +7,12 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
-	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
 // restartSilently replaces the process of a target by a new incarnation that has not
 // sent a heartbeat yet.
 func (s *fixture) restartSilently(name string, incarnation int64) {
-	s.fleet.withLock(func() {
-		s.fleet.targets[name] = &fakeTarget{
-			startedAt:   time.Now(),
-			incarnation: incarnation,
-			running:     map[graph.TaskRef]*fakeRun{},
-			highestRun:  map[graph.TaskRef]uint32{},
-		}
-	})
+	s.fleet.withLock(func() { s.fleet.targets[name] = newFakeTarget(incarnation) })
 }
 
 // announce sends a heartbeat of the target's running process.
@@ -28,19 +20,8 @@
 	var clock Clock
 	s.fleet.withLock(func() { clock = s.fleet.targets[name].clock() })
 	fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{
-		Announce: graph.Announcement{
-			ID: graph.TargetID{
-				ID:          name,
-				Incarnation: incarnation,
-			},
-			Service: "s",
-			Address: name,
-			Capacity: quota.Resources{
-				CPU:    4000,
-				Memory: 4000,
-			},
-		},
-		Clock: clock,
+		Announce: defaultAnnouncement(name, incarnation),
+		Clock:    clock,
 	})
 	s.c.Assert(fault == nil, qt.IsTrue)
 }
