Wait for an idle target in the tests of a restarted one

With six copies of the test under the race detector it failed in 2 of 6. Cause: the renewal with the acknowledgement could still be under way when the test restarted the target, so that its answer told of the new process before the start was sent, and the task was rightly not sent there. The test's pause of one renewal did not cover the time that the machine takes.

The tests now wait for the state that they need, a driver that is idle, and their renewals wait for longer than a start takes. What they check is as before.

--- a/internal/push/replace_test.go
+++ b/internal/push/replace_test.go
@@ -9,6 +9,14 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
+// newRestartFixture returns a fixture with a target w0 whose renewals wait for long, so that
+// a start reaches its next incarnation before a renewal tells of that.
+func newRestartFixture(t *testing.T) *fixture {
+	timing := testTiming()
+	timing.RenewalWait = time.Second
+	return newFixtureWithTiming(t, timing, false, "w0")
+}
+
 // restartSilently replaces the process of a target by a new incarnation that has not
 // sent a heartbeat yet.
 func (s *fixture) restartSilently(name string, incarnation int64) {
@@ -44,8 +52,8 @@
 // run was taken for one that ended with the old process, and started again elsewhere.
 func TestStartTakenByNextIncarnationRunsOnce(t *testing.T) {
 	for _, heard := range []bool{true, false} {
-		s := newFixture(t, false, "w0")
-		s.waitContacted("w0")
+		s := newRestartFixture(t)
+		s.waitIdle("w0")
 		s.fleet.runTime = 1200 * time.Millisecond
 		s.restartSilently("w0", 2)
 		s.submit("a", tasks(1))
@@ -64,8 +72,8 @@
 // the next one under the same id, whose clock does not tell that its deadline is over.
 // The task must wait until the next process has been told not to run it, and no longer.
 func TestLostStartIsNotCarriedOutByNextIncarnation(t *testing.T) {
-	s := newFixture(t, false, "w0")
-	s.waitContacted("w0")
+	s := newRestartFixture(t)
+	s.waitIdle("w0")
 	s.fleet.runTime = 2 * time.Second
 	s.fleet.withLock(func() { s.fleet.targets["w0"].delayedStarts = startAttempts })
 	s.submit("a", tasks(1))
@@ -86,7 +94,7 @@
 // A relay of an earlier release does not say which incarnation answered it. The target
 // then counts as one that does not answer, as long as it may have taken a start.
 func TestUnknownIncarnationKeepsUncertainRuns(t *testing.T) {
-	s := newFixture(t, false, "w0")
+	s := newRestartFixture(t)
 	s.fleet.runTime = time.Hour
 	s.submit("a", tasks(1))
 	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
@@ -101,8 +109,8 @@
 // A new leader finds runs of an older incarnation beside a newer one. It must drive only
 // the newer one, and keep the runs for as long as a target may hold a lease.
 func TestNewLeaderAdoptsRunsOfOlderIncarnation(t *testing.T) {
-	s := newFixture(t, false, "w0")
-	s.waitContacted("w0")
+	s := newRestartFixture(t)
+	s.waitIdle("w0")
 	s.fleet.runTime = time.Hour
 	s.restartSilently("w0", 2)
 	s.submit("a", tasks(1))
@@ -132,8 +140,8 @@
 // An incarnation that ends takes the runs along that it adopted, and the ledger forgets
 // the older incarnation that had them.
 func TestAdoptedRunsEndWithNextIncarnation(t *testing.T) {
-	s := newFixture(t, false, "w0")
-	s.waitContacted("w0")
+	s := newRestartFixture(t)
+	s.waitIdle("w0")
 	s.fleet.runTime = time.Hour
 	s.restartSilently("w0", 2)
 	s.submit("a", tasks(1))
@@ -164,15 +172,17 @@
 	s.assertNoDoubleRuns()
 }
 
-// waitContacted waits until the target has answered its first renewal, and is idle.
-func (s *fixture) waitContacted(name string) {
+// waitIdle waits until the target may get work and no renewal to it is under way: it has
+// answered the one that acknowledged its last end.
+func (s *fixture) waitIdle(name string) {
 	s.c.Helper()
-	s.eventually(waitTimeout, "target is contacted", func() bool {
-		d := s.scheduler.currentLeader.Load().driver(graph.TargetID{
-			ID:          name,
-			Incarnation: 1,
-		})
-		return d != nil && d.usable(time.Now())
+	id := graph.TargetID{
+		ID:          name,
+		Incarnation: 1,
+	}
+	s.eventually(waitTimeout, "target is idle", func() bool {
+		d := s.scheduler.currentLeader.Load().driver(id)
+		return d != nil && d.usable(time.Now()) && d.idle(s.scheduler.ledger.RunCount(id))
 	})
 }
 
@@ -180,16 +190,11 @@
 // numbers of ends begin anew with each incarnation. A process that was started again
 // under its id forgot the end of a task that was done, which then ran once more.
 func TestEndOfNextIncarnationIsNotAcknowledgedUnseen(t *testing.T) {
-	s := newFixture(t, false, "w0")
-	s.waitContacted("w0")
+	s := newRestartFixture(t)
+	s.waitIdle("w0")
 	s.submit("a", tasks(3))
 	s.waitCompleted("a")
-	s.eventually(waitTimeout, "ends are acknowledged", func() bool {
-		left := 0
-		s.fleet.withLock(func() { left = len(s.fleet.targets["w0"].ended) })
-		return left == 0
-	})
-	time.Sleep(s.scheduler.timing.RenewalWait)
+	s.waitIdle("w0")
 	s.restartSilently("w0", 2)
 	s.submit("b", tasks(1))
 	s.eventually(waitTimeout, "new process has run the task", func() bool {
