Ask for a key's owner, a lease's end and a run's end in one place each

The owner of a key was looked up twice, the end of a lease was computed by a copy with another length, and the end of a run was put together twice. The queues that a configuration removes were searched for a second time when the first search was enough. Comments say what Ledger.cancel is for now.

--- a/internal/graph/access.go
+++ b/internal/graph/access.go
@@ -33,11 +33,10 @@
 	if refusal != RefusedNoQueue {
 		return queue, account, refusal
 	}
-	owner := l.config.keys[a.Key]
-	if owner == nil || a.Key == "" {
-		return nil, "", RefusedKey
+	if owner := l.config.ownerOf(a.Key); owner != nil {
+		return nil, owner.Name, ""
 	}
-	return nil, owner.Name, ""
+	return nil, "", RefusedKey
 }
 
 // mayAccess reports whether a caller may act on the job. Its client account may, from any
--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -186,6 +186,14 @@
 	return x
 }
 
+// ownerOf returns the client account that owns the key, or nil.
+func (x *configIndex) ownerOf(key string) *ClientAccount {
+	if key == "" {
+		return nil
+	}
+	return x.keys[key]
+}
+
 // matchQueue returns the queue of the host with the longest prefix of the path,
 // or nil.
 func (x *configIndex) matchQueue(host, path string) *Queue {
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -113,7 +113,7 @@
 	if queue == nil {
 		return nil, "", RefusedNoQueue
 	}
-	if account := l.config.keys[a.Key]; account != nil && a.Key != "" {
+	if account := l.config.ownerOf(a.Key); account != nil {
 		return queue, account.Name, ""
 	}
 	if queue.Open {
@@ -155,6 +155,8 @@
 	return Result{}
 }
 
+// cancel applies a cancel that its proposer has checked with CheckCancel. The checks here
+// are those of earlier releases, for cancels with an address.
 func (l *Ledger) cancel(c *Cancel) Result {
 	_, clientAccount, refusal := l.resolve(c.Address)
 	if refusal != "" && refusal != RefusedNoQueue {
--- a/internal/graph/retire.go
+++ b/internal/graph/retire.go
@@ -38,7 +38,8 @@
 // in force. Queues that were retired before are left out once they have no live jobs. If
 // the log can't carry all of them, only those with live jobs are kept, or none.
 func (l *Ledger) WithRetiredQueues(c *Config) (with *Config, retired int) {
-	for _, retained := range [][]Queue{l.removedBy(c, false), l.removedBy(c, true)} {
+	for _, onlyWithJobs := range []bool{false, true} {
+		retained := l.removedBy(c, onlyWithJobs)
 		if len(retained) == 0 {
 			continue
 		}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -246,7 +246,7 @@
 	return !a.IsLate(&t.Announcement) && (t.Service != a.Service || t.Capacity != a.Capacity || t.Address != a.Address)
 }
 
-// announce commits the announcement, after ending any older incarnations of the
+// announce commits the announcement, after replacing any older incarnations of the
 // target.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
 	if fault := l.replaceOlder("newer lifetime announced", h.Announce.ID); fault != nil {
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -104,15 +104,20 @@
 			continue
 		}
 		d.adopted[key] = true
-		d.leaseExpiry = time.Now().Add(d.leader.withClockDrift(d.leader.scheduler.timing.MaxLease) +
-			d.leader.scheduler.timing.LeaseMargin)
+		d.leaseExpiry = d.leader.leaseExpiry(time.Now(), d.leader.scheduler.timing.MaxLease)
 	}
 }
 
 // latestLeaseExpiry returns when any lease granted up to the given time has
 // expired, allowing for clock drift.
 func (l *leader) latestLeaseExpiry(granted time.Time) time.Time {
-	return granted.Add(l.withClockDrift(l.scheduler.timing.TTL) + l.scheduler.timing.LeaseMargin)
+	return l.leaseExpiry(granted, l.scheduler.timing.TTL)
+}
+
+// leaseExpiry returns when a lease of the given length has expired, allowing for clock
+// drift.
+func (l *leader) leaseExpiry(granted time.Time, length time.Duration) time.Time {
+	return granted.Add(l.withClockDrift(length) + l.scheduler.timing.LeaseMargin)
 }
 
 // withClockDrift returns the longest real time in which a slow clock advances
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -205,12 +205,7 @@
 func (l *leader) endsOf(id graph.TargetID, assignments []graph.Assignment) []graph.RunEnd {
 	ends := make([]graph.RunEnd, 0, len(assignments))
 	for _, assignment := range assignments {
-		ends = append(ends, graph.RunEnd{
-			Target:  l.scheduler.ledger.HolderOf(id, assignment.Task, assignment.Run),
-			Task:    assignment.Task,
-			Run:     assignment.Run,
-			Outcome: graph.OutcomeLeaseExpired,
-		})
+		ends = append(ends, l.endOf(id, keyOf(assignment.Task, assignment.Run), graph.OutcomeLeaseExpired))
 	}
 	return ends
 }
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -97,8 +97,14 @@
 // ledger has the run. The driver's lock must not be held: a decision takes it while it
 // reads the ledger.
 func (d *driver) endOf(key runKey, outcome graph.RunOutcome) graph.RunEnd {
+	return d.leader.endOf(d.target.ID, key, outcome)
+}
+
+// endOf returns the end of a run on the target, for the incarnation for which the ledger
+// has the run.
+func (l *leader) endOf(id graph.TargetID, key runKey, outcome graph.RunOutcome) graph.RunEnd {
 	return graph.RunEnd{
-		Target:  d.leader.scheduler.ledger.HolderOf(d.target.ID, key.task, key.run),
+		Target:  l.scheduler.ledger.HolderOf(id, key.task, key.run),
 		Task:    key.task,
 		Run:     key.run,
 		Outcome: outcome,
