Log what is known of a crash and of used-up attempts

'target: crashed' now has what each suspect's start was (taken, unanswered or inherited from an earlier leader), the time from it to the first call without an answer, whether connections were refused, how long the leader knew the target and how many others are silent. 'job: over' of a failed job has the task, its failed runs and the attempts allowed. No logic changes.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -206,6 +206,16 @@
 	// GaveUp is the task that the job failed with because targets crashed under it, with
 	// their number.
 	GaveUp *CrashCount
+	// UsedUp is the task that the job failed with because its runs failed.
+	UsedUp *AttemptCount
+}
+
+// AttemptCount counts the failed runs of a task, or of a gang, when its job failed.
+// Allowed is the number of attempts that its queue allows.
+type AttemptCount struct {
+	Task    TaskRef
+	Failed  int
+	Allowed int
 }
 
 // Encode returns the encoding of the command for the replicated log.
--- a/internal/graph/runs.go
+++ b/internal/graph/runs.go
@@ -278,8 +278,23 @@
 		return
 	}
 	task.Failures++
-	if !step.LongRunning && task.Failures >= l.maxAttempts(job) {
-		l.finishJob(job, StateFailed)
+	if !step.LongRunning {
+		l.checkAttempts(job, e.Task, task.Failures)
+	}
+}
+
+// checkAttempts fails the job if as many runs of the task, or of its gang, have failed
+// as the job's queue allows.
+func (l *Ledger) checkAttempts(job *Job, ref TaskRef, failed int) {
+	allowed := l.maxAttempts(job)
+	if failed < allowed {
+		return
+	}
+	l.finishJob(job, StateFailed)
+	l.finished[len(l.finished)-1].UsedUp = &AttemptCount{
+		Task:    ref,
+		Failed:  failed,
+		Allowed: allowed,
 	}
 }
 
@@ -322,9 +337,7 @@
 	}
 	execution.LastFailedRun = e.Run
 	execution.Failures++
-	if execution.Failures >= l.maxAttempts(job) {
-		l.finishJob(job, StateFailed)
-	}
+	l.checkAttempts(job, e.Task, execution.Failures)
 }
 
 // completeTask marks a task as done, and finishes the job if it was the last
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -24,6 +24,7 @@
 	startSlots chan struct{}
 	ctx        context.Context
 	cancel     context.CancelFunc
+	created    time.Time
 
 	mu   sync.Mutex
 	runs map[runKey]*runInfo
@@ -44,7 +45,9 @@
 	leaseExpiry time.Time
 	// failures counts the failed calls since the last answered renewal. The first
 	// attempt of a start is not counted.
-	failures    int
+	failures int
+	// lostAt is when the first of the failures was noticed.
+	lostAt      time.Time
 	heartbeatAt time.Time
 	// answeredAt is when the target last answered a renewal, and down is true if no
 	// process listened at its address at a call since then.
@@ -84,6 +87,7 @@
 		startSlots:  make(chan struct{}, maxConcurrentStarts),
 		ctx:         ctx,
 		cancel:      cancel,
+		created:     time.Now(),
 		runs:        map[runKey]*runInfo{},
 		leaseExpiry: l.latestLeaseExpiry(l.started),
 		heartbeatAt: time.Now(),
@@ -217,6 +221,14 @@
 	d.usableUntil.Store(int64(until))
 }
 
+// countFailure counts a call without an answer. The lock must be held.
+func (d *driver) countFailure() {
+	if d.failures == 0 {
+		d.lostAt = time.Now()
+	}
+	d.failures++
+}
+
 // lastCallFailed reports whether the target did not answer the last call.
 func (d *driver) lastCallFailed() bool {
 	d.mu.Lock()
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -135,9 +135,17 @@
 				"crashes": f.GaveUp.Total,
 			}).Warn("sched: job given up, targets crash under its task")
 		}
-		l.log.WithFields(logrus.Fields{
+		entry := l.log.WithFields(logrus.Fields{
 			"job":   f.Job,
 			"state": f.State.String(),
-		}).Info("job: over")
+		})
+		if f.UsedUp != nil {
+			entry = entry.WithFields(logrus.Fields{
+				"task":     f.UsedUp.Task.Name(),
+				"failed":   f.UsedUp.Failed,
+				"attempts": f.UsedUp.Allowed,
+			})
+		}
+		entry.Info("job: over")
 	}
 }
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -164,6 +164,7 @@
 			Token:      d.leader.token(),
 		}, sent)
 		if err == nil {
+			d.recordTaken(key)
 			return runStarted
 		}
 		arrived = arrived || mayHaveArrived(err)
@@ -179,6 +180,13 @@
 	return d.unsentState(key)
 }
 
+// recordTaken records that the target has answered the start of the run.
+func (d *driver) recordTaken(key runKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runInfo(key).takenAt = time.Now()
+}
+
 // stateAfter returns the state of a run whose start failed with the error, and whether
 // the start is not to be sent again. Sent says whether it had been sent before.
 func (d *driver) stateAfter(err error, sent bool) (state runState, final bool) {
@@ -252,7 +260,7 @@
 		return
 	}
 	if errors.Is(err, ErrNoAnswer) && d.ctx.Err() == nil {
-		d.failures++
+		d.countFailure()
 		d.updateUsableUntil()
 	}
 }
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -201,7 +201,7 @@
 		return true
 	}
 	d.mu.Lock()
-	d.failures++
+	d.countFailure()
 	d.down = d.down || errors.Is(err, ErrDown)
 	down := d.down
 	d.updateUsableUntil()
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
@@ -24,7 +25,11 @@
 	if d.retired {
 		return false
 	}
-	d.runInfo(key).startSent = true
+	info := d.runInfo(key)
+	info.startSent = true
+	if info.sentAt.IsZero() {
+		info.sentAt = time.Now()
+	}
 	return true
 }
 
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -65,6 +65,10 @@
 	// the target first listed the run.
 	startSent bool
 	listedAt  time.Time
+	// sentAt is when this leader first sent the start, and takenAt when the target
+	// answered it.
+	sentAt  time.Time
+	takenAt time.Time
 	// unlistedAt is when the target answered with the first list without the run since
 	// it listed the run or its state changed.
 	unlistedAt time.Time
--- a/internal/push/suspect.go
+++ b/internal/push/suspect.go
@@ -1,6 +1,8 @@
 package push
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,6 +11,16 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
+// What a leader knows of the start of a run that may have made its target crash.
+const (
+	// startTaken means that the target has answered the start, or listed the run.
+	startTaken = "taken"
+	// startUnanswered means that the start was sent and not answered.
+	startUnanswered = "unanswered"
+	// startInherited means that an earlier leader has sent the start, if any has.
+	startInherited = "inherited"
+)
+
 // crashesOf returns the crashes of those targets that have not announced that they
 // leave, with the tasks that may have caused them.
 func (l *leader) crashesOf(ids []graph.TargetID) []graph.Crash {
@@ -102,9 +114,49 @@
 			names = append(names, ref.Name())
 		}
 		l.scheduler.metrics.crashes.Inc()
-		l.log.WithFields(logrus.Fields{
+		entry := l.log.WithFields(logrus.Fields{
 			"target":   crash.Target.ID,
 			"suspects": strings.Join(names, " "),
-		}).Warn("target: crashed")
+			"silent":   l.scheduler.silentTargets(),
+		})
+		if d := l.driver(crash.Target); d != nil {
+			entry = entry.WithFields(d.describeCrash(crash.Suspects))
+		}
+		entry.Warn("target: crashed")
+	}
+}
+
+// describeCrash returns what the leader knows of the crash and of the starts of its
+// suspects, for log messages.
+func (d *driver) describeCrash(suspects []graph.TaskRef) logrus.Fields {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	starts := make([]string, 0, len(suspects))
+	for key, info := range d.runs {
+		if slices.Contains(suspects, key.task) {
+			starts = append(starts, key.task.RunName(key.run)+" "+d.describeStart(info))
+		}
+	}
+	slices.Sort(starts)
+	return logrus.Fields{
+		"refused": d.down,
+		"known":   time.Since(d.created).Milliseconds(),
+		"starts":  strings.Join(starts, ", "),
+	}
+}
+
+// describeStart returns what is known of a start, and the milliseconds from then to the
+// first call that the target did not answer. The lock must be held.
+func (d *driver) describeStart(info *runInfo) string {
+	state := startUnanswered
+	switch {
+	case info.sentAt.IsZero():
+		return startInherited
+	case !info.takenAt.IsZero(), !info.listedAt.IsZero():
+		state = startTaken
+	}
+	if d.lostAt.IsZero() {
+		return state
 	}
+	return fmt.Sprintf("%s %d", state, d.lostAt.Sub(info.sentAt).Milliseconds())
 }
