--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -47,6 +47,9 @@
 	silent     bool
 	// down is true after a crash: nothing listens at the target's address.
 	down bool
+	// silentFromStart makes the target fall silent at the next start, before it takes
+	// it.
+	silentFromStart bool
 	// delayedStarts is the number of further starts that are carried out late and
 	// not answered.
 	delayedStarts int
@@ -167,6 +170,13 @@
 		f.crashed(t.ID.ID)
 		return 0, ErrNoAnswer
 	}
+	if target.silentFromStart {
+		target.silent = true
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return 0, ErrNoAnswer
+	}
 	if target.delayedStarts > 0 {
 		target.delayedStarts--
 		time.AfterFunc(f.startDelay, func() {
