Weigh whether a task makes machines crash

A count of crashes can't tell a task that crashes its machines from one that was only there. pkg/blame weighs each crash: the ratio of its probability if the task causes it, and if not. For the latter it takes the rate of losses in the fleet, how long the machine is known to stay up and whether it was lost before, the machines that were lost in the same moment, and the other new tasks. A task that has run well since is cleared, and earlier crashes are weighed again for the others. What the observer has not seen says nothing.

--- /dev/null
+++ b/pkg/blame/blame.go
@@ -0,0 +1,185 @@
+// Package blame weighs whether a task made a machine crash or only ran on it when it
+// did. A crash speaks against a task as much as it would be unlikely without the task:
+// by how often machines are lost for other reasons, by the machines that were lost in the
+// same moment, and by the other tasks that may have caused it.
+package blame
+
+import (
+	"math"
+	"time"
+)
+
+// Weight is the evidence against a task: 100 log10 of the ratio of the probabilities of the
+// crashes if the task causes them and if it does not. So the weights of several crashes
+// add up. A negative one speaks for the task.
+type Weight int32
+
+const (
+	// GiveUpWeight is the weight from which on a task counts as the cause of the
+	// crashes. No single crash reaches it.
+	GiveUpWeight Weight = 500
+	// SuspectWeight is the weight from which on a task is a suspect.
+	SuspectWeight Weight = 20
+	// maxRatio bounds what one crash can say: the estimates say little about crashes that
+	// are rarer without the task.
+	maxRatio = 1e4
+	// priorOdds are the odds that a task of which nothing is known crashes machines.
+	priorOdds   = 0.01
+	weightScale = 100
+	// minExposure is the shortest exposure that is told from others, and maxExposure the
+	// longest after which a task is taken for the cause.
+	minExposure = 10 * time.Millisecond
+	maxExposure = 5 * time.Second
+)
+
+// weightOf returns the weight of a crash that occurs with the given probability without
+// the task. A task that crashes its machines takes any time from minExposure to
+// maxExposure, of whatever magnitude.
+func weightOf(chance float64) Weight {
+	magnitudes := math.Log(float64(maxExposure) / float64(minExposure))
+	ratio := min(1/(magnitudes*min(chance, 1)), maxRatio)
+	return Weight(math.Round(weightScale * math.Log10(ratio)))
+}
+
+// culpritChance returns the probability that a task with the given evidence against it
+// crashes machines.
+func culpritChance(w Weight) float64 {
+	odds := priorOdds * math.Pow(10, float64(w)/weightScale)
+	return odds / (1 + odds)
+}
+
+// Span is the time within which a machine was lost.
+type Span struct {
+	From time.Time
+	To   time.Time
+}
+
+// overlap returns the part of the span that lies in the other one, from zero to one.
+func (s Span) overlap(other Span) float64 {
+	from, to := s.From, s.To
+	if other.From.After(from) {
+		from = other.From
+	}
+	if other.To.Before(to) {
+		to = other.To
+	}
+	switch {
+	case to.Before(from):
+		return 0
+	case !s.To.After(s.From):
+		return 1
+	}
+	return to.Sub(from).Seconds() / s.To.Sub(s.From).Seconds()
+}
+
+// Suspect is a task that was started on a machine not long before its crash. T is the type
+// of ids of tasks.
+type Suspect[T comparable] struct {
+	Task T
+	// Exposure is the time from the start to the crash, at least that of an unseen one.
+	Exposure time.Duration
+	// Weight is the evidence against the task before this crash.
+	Weight Weight
+	// Unseen suspects may have caused the crash, but it says nothing about them.
+	Unseen bool
+}
+
+// chanceInsteadOf returns the probability that the task caused the crash, and not the
+// other one. The time that a task takes to crash its machine has no typical length: it is
+// as likely to be between one and two seconds as between one and two milliseconds. So the
+// task that was started last is the most likely one.
+func (s *Suspect[T]) chanceInsteadOf(other *Suspect[T]) float64 {
+	return culpritChance(s.Weight) * float64(max(other.Exposure, minExposure)) / float64(max(s.Exposure, minExposure))
+}
+
+// Open is a loss that is not recorded yet, with the tasks on the machine.
+type Open[T comparable] struct {
+	Span  Span
+	Tasks []T
+}
+
+// Crash is the end of one life of a machine. M, L and T are the types of the ids of
+// machines, lives and tasks.
+type Crash[M, L, T comparable] struct {
+	Machine M
+	Life    L
+	Span    Span
+	// Known is how long the life was observed before the crash.
+	Known time.Duration
+	// Fleet is the number of machines, and Observed the number of those whose loss is
+	// noticed at once.
+	Fleet    int
+	Observed int
+	// Open has the other machines that are lost and not recorded yet.
+	Open     []Open[T]
+	Suspects []Suspect[T]
+	// IsCleared reports whether the task has since run for much longer than the given
+	// exposure to a crash, so that it has not caused that.
+	IsCleared func(task T, exposure time.Duration) bool
+}
+
+// Weigh records the crash and returns what it adds to the evidence against each of its
+// suspects. Earlier crashes are weighed again for those that other suspects of them were
+// cleared of since.
+func (m *Monitor[M, L, T]) Weigh(c *Crash[M, L, T]) []Weight {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forget(c.Span.To)
+	delete(m.losses, c.Life)
+	lost := &loss[M, T]{
+		machine:  c.Machine,
+		span:     c.Span,
+		known:    c.Known,
+		fleet:    c.Fleet,
+		observed: c.Observed,
+	}
+	for _, suspect := range c.Suspects {
+		lost.causes = append(lost.causes, cause[T]{Suspect: suspect})
+	}
+	m.losses[c.Life] = lost
+	weights := make([]Weight, len(c.Suspects))
+	for i, suspect := range c.Suspects {
+		if !suspect.Unseen {
+			weights[i] = m.weighLosses(suspect.Task, lost, c)
+		}
+		m.evidence[suspect.Task] = max(0, suspect.Weight+weights[i])
+	}
+	return weights
+}
+
+// weighLosses weighs all losses against the task, the last of which is the crash. It
+// returns by how much the evidence has grown. The lock must be held.
+func (m *Monitor[M, L, T]) weighLosses(task T, last *loss[M, T], c *Crash[M, L, T]) Weight {
+	var added Weight
+	for _, l := range m.losses {
+		for i := range l.causes {
+			if l.causes[i].Task != task || l.causes[i].Unseen {
+				continue
+			}
+			l.causes[i].chance = m.rate(l, task) * l.causes[i].Exposure.Seconds()
+			coincidence := m.coincidence(l, task)
+			if l == last {
+				coincidence += l.share(c.Open, task)
+			}
+			added += l.weigh(i, coincidence, c.IsCleared)
+		}
+	}
+	return added
+}
+
+// coincidence returns the fraction of the machines that were lost in the moment of the
+// loss, neither because of the task nor of another one, and so the probability that the
+// machine was lost with them. Machines that had the task as well are no sign of a common
+// reason. The lock must be held.
+func (m *Monitor[M, L, T]) coincidence(l *loss[M, T], task T) float64 {
+	lost := 0.0
+	for _, other := range m.losses {
+		if other == l || other.mayHaveCause(task) {
+			continue
+		}
+		if overlap := other.span.overlap(l.span); overlap > 0 {
+			lost += overlap * m.chanceAlone(other, task)
+		}
+	}
+	return lost / float64(max(1, l.observed))
+}
