Give a job up only when crashes can't be explained without its task

The ledger counted the targets that crashed under a task, and failed its job at the second crash with the task as the only suspect, the third blamed on it or the fifth in all. A start that a dark target never answered counted, and so did each run that a new leader inherited from another: it had never seen it listed. The guess was stored, replicated and never weighed again.

The leader now weighs each crash (pkg/blame) and commits the weight; the ledger keeps the sum and ends no job by it. Once the sum suffices, the leader commits two crashes with the task as the only suspect, for which replicas of the last release give the job up as the new ones do; their own counts are applied as before, for commands of their leaders. What this leader has not seen weighs nothing. A crash is committed 0.3 s after it was noticed and not at the end of the incarnation, so that a change of the leader does not lose it, and counts once, also if it is committed again. It is withdrawn if the target answers again. Other tasks keep further away from suspects.

--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/jasmineward/jasmineward/pkg/blame"
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
@@ -131,6 +132,8 @@
 	// Crashes has an entry for each of the targets whose process is known to have
 	// ended while tasks ran on it, other than by leaving.
 	Crashes []Crash `cbor:",omitempty"`
+	// Evidence says how much crashes of the targets speak against tasks.
+	Evidence []Evidence `cbor:",omitempty"`
 }
 
 // Crash is the end of a target under its tasks. Suspects are the tasks that may have
@@ -140,6 +143,13 @@
 	Suspects []TaskRef
 }
 
+// Evidence is what the crash of a target says about one task that ran on it.
+type Evidence struct {
+	Target TargetID
+	Task   TaskRef
+	Weight blame.Weight
+}
+
 // ClearSuspicion forgets the crashes counted against tasks, which have run for long
 // enough since.
 type ClearSuspicion struct {
--- a/internal/graph/crash.go
+++ b/internal/graph/crash.go
@@ -1,6 +1,11 @@
 package graph
 
-import "slices"
+import (
+	"iter"
+	"slices"
+
+	"github.com/jasmineward/jasmineward/pkg/blame"
+)
 
 const (
 	// maxCrashesAlone is how many targets may crash under a task that is the only
@@ -21,10 +26,64 @@
 	Total int
 }
 
+// Blame is the evidence that a task makes its targets crash.
+type Blame struct {
+	Task    TaskRef
+	Weight  blame.Weight
+	Crashes int
+	// Last is the target of the last of the crashes, each of which counts once.
+	Last TargetID
+}
+
+// recordEvidence adds the evidence of a crash to that against its task.
+func (l *Ledger) recordEvidence(e Evidence) {
+	target := l.targets[e.Target]
+	if target == nil || !l.mayHaveCrashed(e.Task) {
+		return
+	}
+	current := l.blames[e.Task]
+	if _, ran := target.Runs[e.Task]; !ran || current.Last == e.Target {
+		return
+	}
+	l.setBlame(Blame{
+		Task:    e.Task,
+		Weight:  max(0, current.Weight+e.Weight),
+		Crashes: current.Crashes + 1,
+		Last:    e.Target,
+	})
+}
+
+// setBlame replaces the evidence against a task. One without crashes is removed.
+func (l *Ledger) setBlame(b Blame) {
+	job := l.liveJobs[b.Task.Job]
+	if job == nil {
+		return
+	}
+	job.Blames = slices.DeleteFunc(job.Blames, func(other Blame) bool { return other.Task == b.Task })
+	delete(l.blames, b.Task)
+	if b.Crashes > 0 {
+		job.Blames = append(job.Blames, b)
+		l.blames[b.Task] = b
+	}
+}
+
+// GiveUp returns the crashes for which every replica, also of the release before, gives
+// the task up: it does so at the second crash of which the task is the only suspect.
+func GiveUp(target TargetID, ref TaskRef) []Crash {
+	crash := Crash{
+		Target:   target,
+		Suspects: []TaskRef{ref},
+	}
+	return []Crash{crash, crash}
+}
+
 // endIncarnations removes targets. It counts crashes against the tasks that may have
 // caused them, and fails the jobs of tasks under which too many targets have crashed:
 // such a task would go on to crash each target that it is started on.
 func (l *Ledger) endIncarnations(e *EndIncarnations) {
+	for _, evidence := range e.Evidence {
+		l.recordEvidence(evidence)
+	}
 	var condemned []CrashCount
 	for _, crash := range e.Crashes {
 		condemned = append(condemned, l.recordCrash(crash)...)
@@ -34,6 +93,9 @@
 	}
 	for _, count := range condemned {
 		if job := l.liveJobs[count.Task.Job]; job != nil {
+			if b, found := l.blames[count.Task]; found {
+				count.Count, count.Total = b.Crashes, b.Crashes
+			}
 			l.finishJob(job, StateFailed)
 			l.finished[len(l.finished)-1].GaveUp = &count
 		}
@@ -101,6 +163,7 @@
 		if job := l.liveJobs[ref.Job]; job != nil {
 			job.setCrashes(CrashCount{Task: ref})
 		}
+		l.setBlame(Blame{Task: ref})
 	}
 }
 
@@ -112,7 +175,29 @@
 	}
 }
 
-// Suspects returns the tasks under which targets have crashed.
-func (v *View) Suspects() map[TaskRef]CrashCount {
-	return v.ledger.suspects
+// IsSuspect reports whether the task is likely to crash its targets.
+func (v *View) IsSuspect(ref TaskRef) bool {
+	return v.ledger.isSuspect(ref)
+}
+
+// isSuspect reports whether the task is likely to crash its targets: by the evidence
+// against it, or by the count of a leader of an earlier release.
+func (l *Ledger) isSuspect(ref TaskRef) bool {
+	return l.blames[ref].Weight >= blame.SuspectWeight || l.suspects[ref].Total > 0
+}
+
+// Suspects returns the tasks that are likely to crash their targets.
+func (v *View) Suspects() iter.Seq[TaskRef] {
+	return func(yield func(TaskRef) bool) {
+		for ref, b := range v.ledger.blames {
+			if b.Weight >= blame.SuspectWeight && !yield(ref) {
+				return
+			}
+		}
+		for ref := range v.ledger.suspects {
+			if v.ledger.blames[ref].Weight < blame.SuspectWeight && !yield(ref) {
+				return
+			}
+		}
+	}
 }
--- a/internal/graph/job.go
+++ b/internal/graph/job.go
@@ -199,6 +199,8 @@
 	Waiting int
 	// Crashes has the tasks under which targets have crashed.
 	Crashes []CrashCount `cbor:",omitempty"`
+	// Blames has the evidence against the tasks under which targets have crashed.
+	Blames []Blame `cbor:",omitempty"`
 }
 
 // TaskRef identifies a task.
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -29,6 +29,8 @@
 	pendingByQueue map[string]int
 	// suspects has the tasks of live jobs under which targets have crashed.
 	suspects map[TaskRef]CrashCount
+	// blames has the evidence against tasks of live jobs.
+	blames map[TaskRef]Blame
 	// finished collects the jobs that the current command brings to a final
 	// state.
 	finished []FinishedJob
@@ -51,6 +53,7 @@
 	l.usageByClientAccount = map[string]quota.Resources{}
 	l.pendingByQueue = map[string]int{}
 	l.suspects = map[TaskRef]CrashCount{}
+	l.blames = map[TaskRef]Blame{}
 }
 
 // Apply applies a command to the state.
@@ -181,10 +184,14 @@
 	for _, c := range job.Crashes {
 		delete(l.suspects, c.Task)
 	}
+	for _, b := range job.Blames {
+		delete(l.blames, b.Task)
+	}
 	job.State = state
 	job.Ended = l.now
 	job.Spec = Spec{}
 	job.Crashes = nil
+	job.Blames = nil
 	job.Occurrences = nil
 	job.Waiting = 0
 	delete(l.liveJobs, job.ID)
@@ -374,6 +381,9 @@
 		for _, c := range job.Crashes {
 			l.suspects[c.Task] = c
 		}
+		for _, b := range job.Blames {
+			l.blames[b.Task] = b
+		}
 	}
 	for _, item := range s.Targets {
 		t := item.Target
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -141,6 +141,37 @@
 	return older
 }
 
+// RunOf returns the state of the task, and its latest run and that one's target. A task of
+// a completed job is done. A task of another job that is over counts as waiting.
+func (l *Ledger) RunOf(ref TaskRef) (state TaskState, target TargetID, run uint32) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	job := l.jobs[ref.Job]
+	switch {
+	case job == nil:
+		return TaskWaiting, TargetID{}, 0
+	case job.State == StateCompleted:
+		return TaskDone, TargetID{}, 0
+	}
+	task := job.Task(ref)
+	if task == nil {
+		return TaskWaiting, TargetID{}, 0
+	}
+	return task.State, task.Target, task.Run
+}
+
+// TargetCounts returns the number of targets, and of those with runs.
+func (l *Ledger) TargetCounts() (all, busy int) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, t := range l.targets {
+		if len(t.Runs) > 0 {
+			busy++
+		}
+	}
+	return len(l.targets), busy
+}
+
 // Target returns a copy of the target without its runs.
 func (l *Ledger) Target(id TargetID) (Target, bool) {
 	l.mu.RLock()
@@ -174,6 +205,10 @@
 	Speculative bool
 	// Crashes counts the targets that have crashed under the task.
 	Crashes CrashCount
+	// Blame is the evidence that the task crashes its targets, and Suspect is true if it
+	// is likely to.
+	Blame   Blame
+	Suspect bool
 	// Movable is set if the run may be stopped and the task placed again
 	// elsewhere.
 	Movable bool
@@ -254,6 +289,8 @@
 	assignment.Latency = step.Latency
 	assignment.LongRunning = step.LongRunning
 	assignment.Crashes = l.suspects[ref]
+	assignment.Blame = l.blames[ref]
+	assignment.Suspect = l.isSuspect(ref)
 	assignment.Estimate = step.Estimate
 	assignment.Movable = !step.LongRunning && !step.Gang
 	assignment.Speculative = step.MaxConcurrentRuns() > 1
@@ -263,6 +300,11 @@
 	return assignment
 }
 
+// HasBlame reports whether crashes of targets are held against the task.
+func (a *Assignment) HasBlame() bool {
+	return a.Crashes.Total > 0 || a.Blame.Crashes > 0
+}
+
 // hasRun reports whether the run may be active on the target.
 func (l *Ledger) hasRun(id TargetID, ref TaskRef, run uint32) bool {
 	t := l.targets[id]
--- a/internal/plan/suspect.go
+++ b/internal/plan/suspect.go
@@ -7,7 +7,7 @@
 	// crash tells which of them causes it.
 	suspectPairPenalty = 40.0
 	// suspectNeighborPenalty keeps other tasks away from targets with a suspect.
-	suspectNeighborPenalty = 12.0
+	suspectNeighborPenalty = 30.0
 	// suspectRoomWeight makes suspect tasks prefer empty targets, where a crash ends
 	// the fewest runs.
 	suspectRoomWeight = 8.0
@@ -16,8 +16,7 @@
 // isSuspect reports whether the task may crash its next target: a target has crashed
 // under it, or it runs a second time because its target has not answered.
 func (p *planner) isSuspect(job *graph.Job, ref graph.TaskRef) bool {
-	_, found := p.input.View.Suspects()[ref]
-	return found || job.Task(ref).ActiveRuns > 0
+	return p.input.View.IsSuspect(ref) || job.Task(ref).ActiveRuns > 0
 }
 
 // countSuspects counts the suspect tasks that run on each target.
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/pkg/blame"
 	"github.com/jasmineward/jasmineward/pkg/pace"
 )
 
@@ -46,13 +47,18 @@
 	// failures counts the failed calls since the last answered renewal. The first
 	// attempt of a start is not counted.
 	failures int
-	// lostAt is when the first of the failures was noticed.
-	lostAt      time.Time
+	// lost is when the target was lost, if the failures mean that it was.
+	lost        blame.Span
 	heartbeatAt time.Time
+	// renewalSentAt is when the last renewal was sent, and renewalTimeout its timeout.
+	renewalSentAt  time.Time
+	renewalTimeout time.Duration
 	// answeredAt is when the target last answered a renewal, and down is true if no
 	// process listened at its address at a call since then.
 	answeredAt time.Time
 	down       bool
+	// weighed is true once the loss of the target is committed as a crash.
+	weighed bool
 	// contacted is true once the target has answered a renewal.
 	contacted bool
 	// inherited is the set of runs that an earlier leader placed, and adopted the set
@@ -221,14 +227,31 @@
 	d.usableUntil.Store(int64(until))
 }
 
-// countFailure counts a call without an answer. The lock must be held.
-func (d *driver) countFailure() {
+// countFailure counts a call without an answer. Broken says that the call was open when
+// the target's process ended. The lock must be held.
+func (d *driver) countFailure(broken bool) {
+	now := time.Now()
 	if d.failures == 0 {
-		d.lostAt = time.Now()
+		d.lost = blame.Span{
+			From: d.lastSeen(),
+			To:   now,
+		}
+	}
+	moment := now.Add(-breakNoticeTime)
+	if broken && moment.After(d.lost.From) && moment.Before(d.lost.To) {
+		d.lost.From = moment
 	}
 	d.failures++
 }
 
+// lastSeen returns when the target was last known to be up. The lock must be held.
+func (d *driver) lastSeen() time.Time {
+	if d.answeredAt.After(d.clockAt) {
+		return d.answeredAt
+	}
+	return d.clockAt
+}
+
 // lastCallFailed reports whether the target did not answer the last call.
 func (d *driver) lastCallFailed() bool {
 	d.mu.Lock()
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -75,8 +75,10 @@
 func (l *leader) endIncarnations(why string, crashed bool, ids ...graph.TargetID) *wire.Fault {
 	lost := l.runsOn(ids)
 	ended := &graph.EndIncarnations{}
+	var crashes []crash
 	if crashed {
-		ended.Crashes = l.crashesOf(ids)
+		crashes = l.crashesOf(ids)
+		ended.Evidence, ended.Crashes = l.evidenceOf(crashes)
 	}
 	for _, id := range ids {
 		ids = append(ids, l.scheduler.ledger.OlderIncarnations(id)...)
@@ -94,7 +96,7 @@
 		return fault
 	}
 	l.logFinished(result.Finished)
-	l.logCrashes(ended.Crashes)
+	l.logCrashes(crashes)
 	for _, id := range ids {
 		l.log.WithFields(logrus.Fields{
 			"target": id.ID,
--- a/internal/push/innocent_test.go
+++ b/internal/push/innocent_test.go
@@ -127,3 +127,45 @@
 	s.eventuallyRuns("a", 1, "w0")
 	s.c.Assert(s.state("a"), qt.Equals, graph.StateRunning)
 }
+
+// A leader that does not know that the end of an incarnation was committed commits it
+// again. The one end counted as two crashes, and the job was given up.
+func TestReplacementCommittedTwiceIsOneCrash(t *testing.T) {
+	s := newRestartFixture(t)
+	s.waitIdle("w0")
+	s.fleet.withLock(func() { s.fleet.targets["w0"].delayedStarts = startAttempts })
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "start is sent", func() bool { return s.sentRuns("a") == 1 })
+	l := s.scheduler.currentLeader.Load()
+	next := graph.TargetID{
+		ID:          "w0",
+		Incarnation: 2,
+	}
+	for range innocentCrashes {
+		s.c.Assert(l.replaceOlder("newer lifetime announced", next) == nil, qt.IsTrue)
+		s.c.Check(s.state("a"), qt.Equals, graph.StateRunning)
+		l.mu.Lock()
+		clear(l.replaced)
+		l.mu.Unlock()
+	}
+}
+
+// Connections may be refused on the way to a target whose process runs on. Once that
+// answers again there was no crash, and the evidence of it must be forgotten.
+func TestCrashOfAnsweringTargetIsWithdrawn(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.runTime = time.Hour
+	s.submit("a", tasks(1))
+	s.eventuallyRuns("a", 1, "w0")
+	ref := graph.TaskRef{Job: "a"}
+	id := graph.TargetID{
+		ID:          "w0",
+		Incarnation: 1,
+	}
+	crashes := func() int { return s.scheduler.ledger.AssignmentOf(id, ref, 1).Blame.Crashes }
+	s.fleet.withLock(func() { s.fleet.targets["w0"].down = true })
+	s.eventually(waitTimeout, "crash is committed", func() bool { return crashes() == 1 })
+	s.fleet.withLock(func() { s.fleet.targets["w0"].down = false })
+	s.eventually(waitTimeout, "crash is withdrawn", func() bool { return crashes() == 0 })
+	s.eventuallyRuns("a", 1, "w0")
+}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -15,6 +15,7 @@
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/blame"
 	"github.com/jasmineward/jasmineward/pkg/delay"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 	"github.com/jasmineward/jasmineward/pkg/rating"
@@ -50,6 +51,8 @@
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
+	// losses has the losses of targets that this leader has seen, by address.
+	losses *blame.Monitor[string, graph.TargetID, graph.TaskRef]
 	// startLatency estimates the time until a start is answered.
 	startLatency *delay.Estimator
 
@@ -96,6 +99,7 @@
 
 		admittedAt: map[graph.JobID]time.Time{},
 
+		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
 		startLatency: delay.NewEstimator(minStartTimeout, s.timing.CallTimeout),
 
 		drivers:           map[graph.TargetID]*driver{},
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -187,6 +187,14 @@
 	d.runInfo(key).takenAt = time.Now()
 }
 
+// recordBroken records that the connection broke under the start of the run. It would have
+// broken before, or been refused, if the target's process had been gone already.
+func (d *driver) recordBroken(key runKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runInfo(key).startBroken = true
+}
+
 // stateAfter returns the state of a run whose start failed with the error, and whether
 // the start is not to be sent again. Sent says whether it had been sent before.
 func (d *driver) stateAfter(err error, sent bool) (state runState, final bool) {
@@ -240,6 +248,9 @@
 	clock, err := d.leader.targets.Start(ctx, &d.target, order)
 	d.leader.scheduler.metrics.orders.WithLabelValues(string(outcomeOf(err))).Inc()
 	lost := errors.Is(err, ErrNoAnswer)
+	if lost && !errors.Is(err, ErrDown) && time.Since(sent) < wait/2 {
+		d.recordBroken(keyOf(order.Task, order.Run))
+	}
 	if !lost {
 		d.leader.startLatency.Observe(time.Since(sent))
 	}
@@ -260,7 +271,7 @@
 		return
 	}
 	if errors.Is(err, ErrNoAnswer) && d.ctx.Err() == nil {
-		d.countFailure()
+		d.countFailure(false)
 		d.updateUsableUntil()
 	}
 }
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -125,7 +125,7 @@
 func (d *driver) startSpeculativeRuns(why string) {
 	var tasks []graph.TaskRef
 	for key, assignment := range d.ledgerAssignments() {
-		if assignment.Speculative && assignment.Desired && assignment.Crashes.Total == 0 && d.markSpeculated(key) {
+		if assignment.Speculative && assignment.Desired && !assignment.Suspect && d.markSpeculated(key) {
 			tasks = append(tasks, assignment.Task)
 		}
 	}
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -22,6 +22,12 @@
 	idleInterval = 10 * time.Second
 	// maxListedEnds is the maximum number of ends in one listing of a target.
 	maxListedEnds = 500
+	// breakNoticeTime is how long after the end of a target's process the break of an
+	// open call is noticed.
+	breakNoticeTime = 50 * time.Millisecond
+	// crashSettleTime is how long after a crash it is weighed, so that other losses of
+	// the same moment are known.
+	crashSettleTime = 300 * time.Millisecond
 	// uncertainRunWait bounds the wait of a renewal while a run is being
 	// stopped or the outcome of its start is uncertain.
 	uncertainRunWait = 150 * time.Millisecond
@@ -94,7 +100,11 @@
 func (d *driver) renewLease() error {
 	renewal := d.newRenewal()
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(d.ctx, renewal.Wait+renewalTimeoutMargin)
+	timeout := renewal.Wait + renewalTimeoutMargin
+	d.mu.Lock()
+	d.renewalSentAt, d.renewalTimeout = sent, timeout
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	list, err := d.leader.targets.RenewLease(ctx, &d.target, renewal)
 	cancel()
 	if err != nil {
@@ -110,6 +120,8 @@
 	if d.failures > 0 {
 		d.log.WithField("failures", d.failures).Info("target: answers again")
 	}
+	withdraw := d.weighed
+	d.weighed = false
 	d.failures = 0
 	d.answeredAt = time.Now()
 	d.down = false
@@ -119,6 +131,9 @@
 	if first {
 		d.leader.wakeDecisionLoop()
 	}
+	if withdraw {
+		d.withdrawCrash()
+	}
 	if err := d.commitListedEnds(list.Ended); err != nil {
 		return nil
 	}
@@ -179,6 +194,17 @@
 	return false
 }
 
+// isBroken reports whether the error of a renewal means that its call broke while the
+// target had it open: it lasted for some time, and did not time out. The lock must be
+// held.
+func (d *driver) isBroken(err error) bool {
+	if d.renewalSentAt.IsZero() || !errors.Is(err, ErrNoAnswer) {
+		return false
+	}
+	open := time.Since(d.renewalSentAt)
+	return open > breakNoticeTime && open < d.renewalTimeout-2*relayTimeoutMargin
+}
+
 // handleRenewalFailure processes a failed renewal. It returns true when the
 // driver has to stop.
 func (d *driver) handleRenewalFailure(err error) bool {
@@ -201,11 +227,12 @@
 		return true
 	}
 	d.mu.Lock()
-	d.countFailure()
+	d.countFailure(d.isBroken(err))
 	d.down = d.down || errors.Is(err, ErrDown)
 	down := d.down
 	d.updateUsableUntil()
 	failures := d.failures
+	weigh := down && !d.weighed && time.Since(d.lost.To) >= crashSettleTime
 	leaseExpired := time.Now().After(d.leaseExpiry)
 	heartbeatsStopped := time.Since(d.heartbeatAt) > d.leader.scheduler.timing.MaxHeartbeatAge
 	d.mu.Unlock()
@@ -216,6 +243,9 @@
 	if failures >= speculateAfterFailures {
 		d.startSpeculativeRuns("target does not answer")
 	}
+	if weigh {
+		d.weighCrash()
+	}
 	if !leaseExpired || !heartbeatsStopped && d.leader.scheduler.ledger.RunCount(d.target.ID) == 0 {
 		return false
 	}
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -169,13 +169,8 @@
 // commitReplacement commits the crash of the replaced incarnation, and the ends of those
 // of its runs that are certain to be over with it.
 func (l *leader) commitReplacement(last graph.TargetID, over []graph.RunEnd) *wire.Fault {
-	if crashes := l.crashesOf([]graph.TargetID{last}); len(crashes) > 0 {
-		result, fault := l.propose(l.ctx, graph.Command{Gone: &graph.EndIncarnations{Crashes: crashes}})
-		if fault != nil {
-			return fault
-		}
-		l.logFinished(result.Finished)
-		l.logCrashes(crashes)
+	if fault := l.commitCrashes(l.crashesOf([]graph.TargetID{last})); fault != nil {
+		return fault
 	}
 	if len(over) == 0 {
 		return nil
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -69,6 +69,8 @@
 	// answered it.
 	sentAt  time.Time
 	takenAt time.Time
+	// startBroken is true if the target's process ended while it had the start.
+	startBroken bool
 	// unlistedAt is when the target answered with the first list without the run since
 	// it listed the run or its state changed.
 	unlistedAt time.Time
