Check a failed job against its failed runs and its queue

Callers saw jobs as failed whose tasks had attempts left. The model of the ledger did not count attempts, so no test would have shown that.

No logic changes.

--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -25,6 +25,8 @@
 	doneTasks map[TaskRef]bool
 	// crashes counts the crashes of which a task was suspected.
 	crashes map[TaskRef]int
+	// attempts says what the job's queues allow and which runs have failed.
+	attempts attemptModel
 }
 
 func testConfig(version int64, limit quota.MilliCPU) *Config {
@@ -67,6 +69,7 @@
 		activeRuns: map[TaskRef]map[uint32]TargetID{},
 		doneTasks:  map[TaskRef]bool{},
 		crashes:    map[TaskRef]int{},
+		attempts:   newAttemptModel(),
 	}
 	m.apply(Command{Config: testConfig(1, 6000)})
 	for i := range 3 {
@@ -122,10 +125,17 @@
 		ID:      id,
 		Spec:    spec,
 	}})
+	if m.attempts.queue == "" {
+		if result.Refusal != RefusedNoQueue {
+			t.Fatalf("job without a queue is not refused: %q", result.Refusal)
+		}
+		return
+	}
 	if result.Refusal != "" {
 		t.Fatalf("job refused: %s", result.Refusal)
 	}
 	m.jobs = append(m.jobs, id)
+	m.attempts.queueOf[id] = m.attempts.queue
 }
 
 func (m *ledgerModel) drawTask(t *rapid.T) (TaskRef, *Job) {
@@ -220,7 +230,7 @@
 	end := RunEnd{
 		Task:    ref,
 		Run:     uint32(rapid.IntRange(1, 6).Draw(t, "run")),
-		Outcome: RunOutcome(rapid.IntRange(int(OutcomeDone), int(OutcomeNeverStarted)).Draw(t, "outcome")),
+		Outcome: drawOutcome(t),
 		Target: TargetID{
 			ID:          fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "target")),
 			Incarnation: 1,
@@ -232,17 +242,33 @@
 			end.Run, end.Target = run, target
 		}
 	}
+	m.applyEnd(t, job, end)
+}
+
+// applyEnd applies the end of a run, and checks what the ledger makes of it.
+func (m *ledgerModel) applyEnd(t *rapid.T, job *Job, end RunEnd) {
+	ref := end.Task
 	step := job.Spec.Steps[ref.Step]
 	counts := job.Task(ref).Run == end.Run && job.Task(ref).State == TaskPlaced ||
 		step.Speculative && !step.Gang && !step.LongRunning
-	m.apply(Command{Events: &Events{Ends: []RunEnd{end}}})
-	if target, active := m.activeRuns[ref][end.Run]; !active || target != end.Target {
+	target, active := m.activeRuns[ref][end.Run]
+	active = active && target == end.Target
+	failed := active && end.Outcome == OutcomeFailed && !m.isDone(ref, step) &&
+		m.attempts.recordFailedRun(ref, end.Run, step)
+	// An end may be listed to two leaders, or twice to one.
+	ends := slices.Repeat([]RunEnd{end}, rapid.IntRange(1, 2).Draw(t, "listed"))
+	result := m.apply(Command{Events: &Events{Ends: ends}})
+	m.attempts.checkFinished(t, result.Finished)
+	if !active {
 		return
 	}
 	delete(m.activeRuns[ref], end.Run)
 	if end.Outcome == OutcomeDone && counts {
 		m.doneTasks[ref] = true
 	}
+	if failed && m.ledger.IsLive(ref.Job) {
+		m.attempts.checkLeft(t, ref, step)
+	}
 }
 
 // check compares the totals that the ledger keeps with sums over its runs and
@@ -266,15 +292,18 @@
 	if usage["t"] != l.usageByClientAccount["t"] || !WithinLimit(usage["t"], l.config.clientAccounts["t"].Limit) {
 		t.Fatalf("client account uses %v, ledger says %v", usage["t"], l.usageByClientAccount["t"])
 	}
-	pending := 0
+	pending := map[string]int{}
 	for _, job := range l.liveJobs {
 		if !job.Started {
-			pending++
+			pending[job.Queue]++
 		}
 		m.checkJob(t, job)
 	}
-	if pending != l.pendingByQueue["q"] {
-		t.Fatalf("%d jobs pending, ledger says %d", pending, l.pendingByQueue["q"])
+	m.attempts.checkStates(t, l)
+	for _, queue := range []string{"q", "r"} {
+		if pending[queue] != l.pendingByQueue[queue] {
+			t.Fatalf("%d jobs of %s pending, ledger says %d", pending[queue], queue, l.pendingByQueue[queue])
+		}
 	}
 }
 
@@ -301,6 +330,7 @@
 		end.Crashes = []Crash{crash}
 	}
 	for _, finished := range m.apply(Command{Gone: end}).Finished {
+		m.attempts.over[finished.Job] = true
 		if given := finished.GaveUp; given != nil && m.crashes[given.Task] < maxCrashesAlone {
 			t.Fatalf("%s was given up after %d crashes", given.Task.Name(), m.crashes[given.Task])
 		}
@@ -362,6 +392,42 @@
 	}
 }
 
+// replaceTarget ends a target and starts it again.
+func (m *ledgerModel) replaceTarget(t *rapid.T) {
+	id := TargetID{
+		ID:          fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "target")),
+		Incarnation: 1,
+	}
+	m.crash(t, id)
+	for _, runs := range m.activeRuns {
+		for run, target := range runs {
+			if target == id {
+				delete(runs, run)
+			}
+		}
+	}
+	m.apply(Command{Target: newAnnouncement(id.ID, 1, 4000)})
+}
+
+// speculate requests a second run of a task.
+func (m *ledgerModel) speculate(t *rapid.T) {
+	if ref, job := m.drawTask(t); job != nil {
+		m.apply(Command{Copy: &Speculate{Tasks: []TaskRef{ref}}})
+	}
+}
+
+// restore continues with a ledger that is restored from a snapshot.
+func (m *ledgerModel) restore(t *rapid.T) {
+	data, err := m.ledger.Snapshot()()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.ledger = NewLedger()
+	if err := m.ledger.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Applies random commands, valid and invalid ones, and compares the ledger with an
 // independent model after each of them.
 func TestLedgerAgainstModel(t *testing.T) {
@@ -369,6 +435,7 @@
 		m := newLedgerModel()
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.submit,
+			"config": m.configure,
 			"place":  m.place,
 			"end":    m.endRun,
 			"wait": func(t *rapid.T) {
@@ -382,46 +449,19 @@
 					}})
 				}
 			},
-			"gone": func(t *rapid.T) {
-				id := TargetID{
-					ID:          fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "target")),
-					Incarnation: 1,
-				}
-				m.crash(t, id)
-				for _, runs := range m.activeRuns {
-					for run, target := range runs {
-						if target == id {
-							delete(runs, run)
-						}
-					}
-				}
-				m.apply(Command{Target: newAnnouncement(id.ID, 1, 4000)})
-			},
+			"gone": m.replaceTarget,
 			"clear": func(t *rapid.T) {
 				if ref, job := m.drawTask(t); job != nil {
 					m.apply(Command{Clear: &ClearSuspicion{Tasks: []TaskRef{ref}}})
 				}
 			},
-			"copy": func(t *rapid.T) {
-				if ref, job := m.drawTask(t); job != nil {
-					m.apply(Command{Copy: &Speculate{Tasks: []TaskRef{ref}}})
-				}
-			},
+			"copy": m.speculate,
 			"evict": func(t *rapid.T) {
 				if ref, job := m.drawTask(t); job != nil {
 					m.apply(Command{Evict: &Evict{Tasks: []TaskRef{ref}}})
 				}
 			},
-			"restore": func(t *rapid.T) {
-				data, err := m.ledger.Snapshot()()
-				if err != nil {
-					t.Fatal(err)
-				}
-				m.ledger = NewLedger()
-				if err := m.ledger.Restore(data); err != nil {
-					t.Fatal(err)
-				}
-			},
+			"restore": m.restore,
 			"": func(t *rapid.T) {
 				m.check(t)
 				m.checkSuspects(t)
