Count no failed run of a gang whose tasks last

Callers saw a job whose gang lasts as failed after as many failed runs as its queue allows. Tasks that last have no such limit and must be started again however they end. The ledger leaves them out of the count only where they form no gang.

The leader now commits such an end as that of a broken gang: its tasks are placed again and nothing is counted.

--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -396,6 +396,19 @@
 	return l.liveJobs[id] != nil
 }
 
+// IsLongRunningGang reports whether the task belongs to a gang of a live job whose tasks
+// last.
+func (l *Ledger) IsLongRunningGang(ref TaskRef) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	job := l.liveJobs[ref.Job]
+	if job == nil {
+		return false
+	}
+	step := job.StepOf(ref)
+	return step != nil && step.Gang && step.LongRunning
+}
+
 // RunCount returns the number of runs that may be active in the target's process, as
 // Assignments does.
 func (l *Ledger) RunCount(id TargetID) int {
--- a/internal/push/attempts_test.go
+++ b/internal/push/attempts_test.go
@@ -115,3 +115,20 @@
 	s.waitCompleted("a")
 	s.c.Check(s.sentRuns("a"), qt.Equals, allowed)
 }
+
+// Tasks that last must be started again however they end. The limit of failed runs was
+// applied to gangs of such tasks, whose job was then shown as failed.
+func TestLongRunningTasksHaveNoLimitOfFailedRuns(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		s := newFixture(t, false, "w0")
+		s.fleet.failedRuns = 1000
+		step := tasks(2)
+		step.LongRunning, step.Gang = true, gang
+		s.submit("a", step)
+		enough := 2 * uint32(s.defaultQueue().Attempts)
+		s.eventually(waitTimeout, "task runs after many failed runs", func() bool {
+			return s.sentRuns("a") > enough || !s.scheduler.ledger.IsLive("a")
+		})
+		s.c.Check(s.state("a"), qt.Equals, graph.StateRunning, qt.Commentf("gang %t", gang))
+	}
+}
--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/sirupsen/logrus"
@@ -41,7 +42,7 @@
 
 // commitEnds commits the ends of runs.
 func (d *driver) commitEnds(ends []graph.RunEnd) error {
-	result, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: ends}})
+	result, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: d.leader.withoutLimit(ends)}})
 	if fault != nil {
 		d.log.WithField("fault", fault.Error()).Warn("target: ends not committed")
 		return fault
@@ -55,6 +56,18 @@
 	return nil
 }
 
+// withoutLimit returns the ends with the failed runs of gangs that last as broken ones.
+// There is no limit of these runs, but replicas would count them as attempts.
+func (l *leader) withoutLimit(ends []graph.RunEnd) []graph.RunEnd {
+	ends = slices.Clone(ends)
+	for i := range ends {
+		if ends[i].Outcome == graph.OutcomeFailed && l.scheduler.ledger.IsLongRunningGang(ends[i].Task) {
+			ends[i].Outcome = graph.OutcomeGangBroken
+		}
+	}
+	return ends
+}
+
 // logEnds logs one line per job and outcome, since the ends in one listing
 // mostly belong to one step.
 func (d *driver) logEnds(ends []graph.RunEnd) {
