Ask a target directly when its relay's connection is refused

A target that refuses the connections of one relay may run on, and be reachable for the leader: its lease ran out, its tasks were started again elsewhere, and the loss counted as a crash under them. A call that a relay found unanswered made the leader call the target itself; a refused one did not. Both do now, and a refused renewal is repeated directly at once.

Found by a review of the trace.

Measured: TestTargetsStayReachableWhenRelayIsRefused failed before (two targets did not answer, their tasks were blamed) and passes, with the tests of relays, twice with -race.

--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -86,13 +86,18 @@
 	calls map[string]int
 	// unreachable is true while the instance can reach no target.
 	unreachable bool
+	// refused is true while all connections of the instance are refused.
+	refused bool
 }
 
 func (f *countingTargets) countCall(ctx context.Context, t *graph.Target) error {
 	f.mu.Lock()
 	f.calls[t.ID.ID]++
-	unreachable := f.unreachable
+	unreachable, refused := f.unreachable, f.refused
 	f.mu.Unlock()
+	if refused {
+		return ErrDown
+	}
 	if unreachable {
 		<-ctx.Done()
 		return ErrNoAnswer
@@ -291,3 +296,38 @@
 	defer r.mu.Unlock()
 	return maps.Clone(r.avoidUntil)
 }
+
+// The connections of a relay to its targets are refused, while their processes live and the
+// leader could call them directly. A call that goes unanswered is repeated directly, a
+// refused one is not: the targets count as crashed, and what runs on them as suspect.
+func TestTargetsStayReachableWhenRelayIsRefused(t *testing.T) {
+	cluster := newRelayCluster(t)
+	l := cluster.waitForRelays()
+	cluster.fleet.runTime = time.Hour
+	cluster.submit("a", tasks(24))
+	cluster.eventually(waitTimeout, "tasks run", func() bool {
+		running := 0
+		cluster.fleet.withLock(func() {
+			for _, target := range cluster.fleet.targets {
+				running += len(target.running)
+			}
+		})
+		return running == 24
+	})
+	relay := (cluster.leader() + 1) % 3
+	targets := cluster.targetCalls[relay]
+	targets.mu.Lock()
+	targets.refused = true
+	targets.mu.Unlock()
+	time.Sleep(1200 * time.Millisecond)
+	for _, d := range l.allDrivers() {
+		blames := 0
+		for _, assignment := range l.scheduler.ledger.Assignments(d.target.ID) {
+			if assignment.Blame.Crashes > 0 {
+				blames++
+			}
+		}
+		cluster.c.Check(d.lastCallFailed(), qt.IsFalse, qt.Commentf("%s does not answer", d.target.ID.ID))
+		cluster.c.Check(blames, qt.Equals, 0, qt.Commentf("tasks of %s are held to have crashed it", d.target.ID.ID))
+	}
+}
--- a/internal/push/relayed.go
+++ b/internal/push/relayed.go
@@ -88,10 +88,17 @@
 	reply, err := p.sendViaRelay(ctx, relay, args)
 	if err == nil {
 		p.metrics.routes.WithLabelValues(routeRelay).Inc()
-		if reply.Outcome == outcomeUnanswered {
-			p.relays.markUnreachable(t)
+		if reply.Outcome != outcomeUnanswered && reply.Outcome != outcomeDown {
+			return reply, reply.err(relay)
 		}
-		return reply, reply.err(relay)
+		p.relays.markUnreachable(t)
+		if reply.Outcome == outcomeUnanswered || args.Hold == nil || remainingTime(ctx) < minDirectTime {
+			return reply, reply.err(relay)
+		}
+		// A refusal may be the relay's alone.
+		args.Hold.Wait = 0
+		p.metrics.routes.WithLabelValues(routeDirect).Inc()
+		return dispatchOrder(ctx, p.direct, args)
 	}
 	p.metrics.routes.WithLabelValues(routeRelayLost).Inc()
 	p.relays.markFailed(relay, err)
