--- a/internal/graph/crash.go
+++ b/internal/graph/crash.go
@@ -28,11 +28,10 @@
 
 // Blame is the evidence that a task makes its targets crash.
 type Blame struct {
-	Task    TaskRef
-	Weight  blame.Weight
-	Crashes int
-	// Last is the target of the last of the crashes, each of which counts once.
-	Last TargetID
+	Task   TaskRef
+	Weight blame.Weight
+	// Targets are those that have crashed, each of which counts once.
+	Targets []TargetID
 }
 
 // recordEvidence adds the evidence of a crash to that against its task.
@@ -42,14 +41,13 @@
 		return
 	}
 	current := l.blames[e.Task]
-	if _, ran := target.Runs[e.Task]; !ran || current.Last == e.Target {
+	if _, ran := target.Runs[e.Task]; !ran || slices.Contains(current.Targets, e.Target) {
 		return
 	}
 	l.setBlame(Blame{
 		Task:    e.Task,
 		Weight:  max(0, current.Weight+e.Weight),
-		Crashes: current.Crashes + 1,
-		Last:    e.Target,
+		Targets: append(slices.Clone(current.Targets), e.Target),
 	})
 }
 
@@ -61,7 +59,7 @@
 	}
 	job.Blames = slices.DeleteFunc(job.Blames, func(other Blame) bool { return other.Task == b.Task })
 	delete(l.blames, b.Task)
-	if b.Crashes > 0 {
+	if len(b.Targets) > 0 {
 		job.Blames = append(job.Blames, b)
 		l.blames[b.Task] = b
 	}
@@ -94,7 +92,7 @@
 	for _, count := range condemned {
 		if job := l.liveJobs[count.Task.Job]; job != nil {
 			if b, found := l.blames[count.Task]; found {
-				count.Count, count.Total = b.Crashes, b.Crashes
+				count.Count, count.Total = len(b.Targets), len(b.Targets)
 			}
 			l.finishJob(job, StateFailed)
 			l.finished[len(l.finished)-1].GaveUp = &count
@@ -175,6 +173,19 @@
 	}
 }
 
+// BlamedFor returns the tasks that are blamed for a crash of the target.
+func (l *Ledger) BlamedFor(id TargetID) []TaskRef {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var tasks []TaskRef
+	for ref, b := range l.blames {
+		if slices.Contains(b.Targets, id) {
+			tasks = append(tasks, ref)
+		}
+	}
+	return tasks
+}
+
 // IsSuspect reports whether the task is likely to crash its targets.
 func (v *View) IsSuspect(ref TaskRef) bool {
 	return v.ledger.isSuspect(ref)
--- a/internal/graph/evidence_test.go
+++ b/internal/graph/evidence_test.go
@@ -38,7 +38,7 @@
 		c.Check(crashWithEvidence(l, "w0", ref, false).Finished, qt.HasLen, 0)
 	}
 	c.Check(l.IsLive("a"), qt.IsTrue)
-	c.Check(l.blames[ref].Crashes, qt.Equals, 1, qt.Commentf("crashes of one incarnation"))
+	c.Check(l.blames[ref].Targets, qt.HasLen, 1, qt.Commentf("crashes of one incarnation"))
 }
 
 // A crash that is committed again, as its first commit was uncertain, must not count twice.
@@ -55,11 +55,34 @@
 	}}}}
 	l.Apply(crash)
 	l.Apply(crash)
-	c.Check(l.blames[ref].Crashes, qt.Equals, 1)
+	c.Check(l.blames[ref].Targets, qt.HasLen, 1)
 	c.Check(int(l.blames[ref].Weight), qt.Equals, 250)
 	l.Apply(Command{Gone: &EndIncarnations{Targets: []TargetID{testTargetID("w0")}}})
 	l.Apply(crash)
-	c.Check(l.blames[ref].Crashes, qt.Equals, 1)
+	c.Check(l.blames[ref].Targets, qt.HasLen, 1)
+}
+
+// Two runs of a task may crash two targets, and both crashes be committed again. Each must
+// count once all the same.
+func TestCrashesCommittedAgainInTurnCountOnce(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	step := singleTaskStep()
+	step.Speculative = true
+	submitJob(l, "a", step)
+	ref := TaskRef{Job: "a"}
+	c.Assert(placeTasks(l, 1000, "w0", 1, ref), qt.Equals, Refusal(""))
+	l.Apply(Command{Copy: &Speculate{Tasks: []TaskRef{ref}}})
+	c.Assert(placeTasks(l, 1000, "w1", 2, ref), qt.Equals, Refusal(""))
+	for _, id := range []string{"w0", "w1", "w0", "w1"} {
+		l.Apply(Command{Gone: &EndIncarnations{Evidence: []Evidence{{
+			Target: testTargetID(id),
+			Task:   ref,
+			Weight: 200,
+		}}}})
+	}
+	c.Check(l.blames[ref].Targets, qt.HasLen, 2)
+	c.Check(int(l.blames[ref].Weight), qt.Equals, 400)
 }
 
 // A new leader has to know the evidence of the one before it, and forgets it once the task
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -302,7 +302,7 @@
 
 // HasBlame reports whether crashes of targets are held against the task.
 func (a *Assignment) HasBlame() bool {
-	return a.Crashes.Total > 0 || a.Blame.Crashes > 0
+	return a.Crashes.Total > 0 || len(a.Blame.Targets) > 0
 }
 
 // hasRun reports whether the run may be active on the target.
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -48,7 +48,9 @@
 	// attempt of a start is not counted.
 	failures int
 	// lost is when the target was lost, if the failures mean that it was.
-	lost        blame.Span
+	lost blame.Span
+	// lostExactly is true if the target's process is known to have ended in that time.
+	lostExactly bool
 	heartbeatAt time.Time
 	// renewalSentAt is when the last renewal was sent, and renewalTimeout its timeout.
 	renewalSentAt  time.Time
@@ -227,29 +229,45 @@
 	d.usableUntil.Store(int64(until))
 }
 
-// countFailure counts a call without an answer. Broken says that the call was open when
-// the target's process ended. The lock must be held.
-func (d *driver) countFailure(broken bool) {
+// countFailure counts a call without an answer. Ended says that the target's process had
+// ended by now, as the call did not time out, and open for how long it had the call. The
+// lock must be held.
+func (d *driver) countFailure(ended bool, open time.Duration) {
 	now := time.Now()
 	if d.failures == 0 {
 		d.lost = blame.Span{
 			From: d.lastSeen(),
 			To:   now,
 		}
+		d.lostExactly = false
 	}
 	moment := now.Add(-breakNoticeTime)
-	if broken && moment.After(d.lost.From) && moment.Before(d.lost.To) {
+	if ended && open > breakNoticeTime && moment.After(d.lost.From) && moment.Before(d.lost.To) {
 		d.lost.From = moment
 	}
+	d.lostExactly = d.lostExactly || ended && now.Sub(d.lost.To) < breakNoticeTime
 	d.failures++
 }
 
+// recordRefusal records that no process listens at the target's address. If the calls
+// before timed out, the process may have ended any time before the first refusal. The lock
+// must be held.
+func (d *driver) recordRefusal() {
+	if !d.down && !d.lostExactly {
+		d.lost.To = time.Now()
+	}
+	d.down = true
+}
+
 // lastSeen returns when the target was last known to be up. The lock must be held.
 func (d *driver) lastSeen() time.Time {
-	if d.answeredAt.After(d.clockAt) {
-		return d.answeredAt
+	seen := d.created
+	for _, at := range []time.Time{d.answeredAt, d.clockAt} {
+		if at.After(seen) {
+			seen = at
+		}
 	}
-	return d.clockAt
+	return seen
 }
 
 // lastCallFailed reports whether the target did not answer the last call.
--- a/internal/push/innocent_test.go
+++ b/internal/push/innocent_test.go
@@ -162,7 +162,7 @@
 		ID:          "w0",
 		Incarnation: 1,
 	}
-	crashes := func() int { return s.scheduler.ledger.AssignmentOf(id, ref, 1).Blame.Crashes }
+	crashes := func() int { return len(s.scheduler.ledger.AssignmentOf(id, ref, 1).Blame.Targets) }
 	s.fleet.withLock(func() { s.fleet.targets["w0"].down = true })
 	s.eventually(waitTimeout, "crash is committed", func() bool { return crashes() == 1 })
 	s.fleet.withLock(func() { s.fleet.targets["w0"].down = false })
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -271,7 +271,7 @@
 		return
 	}
 	if errors.Is(err, ErrNoAnswer) && d.ctx.Err() == nil {
-		d.countFailure(false)
+		d.countFailure(errors.Is(err, ErrDown), 0)
 		d.updateUsableUntil()
 	}
 }
--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -323,7 +323,7 @@
 	for _, d := range l.allDrivers() {
 		blames := 0
 		for _, assignment := range l.scheduler.ledger.Assignments(d.target.ID) {
-			if assignment.Blame.Crashes > 0 {
+			if len(assignment.Blame.Targets) > 0 {
 				blames++
 			}
 		}
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -120,7 +120,9 @@
 	if d.failures > 0 {
 		d.log.WithField("failures", d.failures).Info("target: answers again")
 	}
-	withdraw := d.weighed
+	// The crash may have been committed before the lease of the target was over, or by an
+	// earlier leader.
+	withdraw := d.weighed || first
 	d.weighed = false
 	d.failures = 0
 	d.answeredAt = time.Now()
@@ -194,15 +196,14 @@
 	return false
 }
 
-// isBroken reports whether the error of a renewal means that its call broke while the
-// target had it open: it lasted for some time, and did not time out. The lock must be
-// held.
-func (d *driver) isBroken(err error) bool {
-	if d.renewalSentAt.IsZero() || !errors.Is(err, ErrNoAnswer) {
-		return false
+// renewalEnd returns for how long the last renewal was open, and whether its error means
+// that the target's process has ended: it did not time out. The lock must be held.
+func (d *driver) renewalEnd(err error) (ended bool, open time.Duration) {
+	if d.renewalSentAt.IsZero() {
+		return errors.Is(err, ErrDown), 0
 	}
-	open := time.Since(d.renewalSentAt)
-	return open > breakNoticeTime && open < d.renewalTimeout-2*relayTimeoutMargin
+	open = time.Since(d.renewalSentAt)
+	return errors.Is(err, ErrNoAnswer) && open < d.renewalTimeout-2*relayTimeoutMargin, open
 }
 
 // handleRenewalFailure processes a failed renewal. It returns true when the
@@ -227,8 +228,10 @@
 		return true
 	}
 	d.mu.Lock()
-	d.countFailure(d.isBroken(err))
-	d.down = d.down || errors.Is(err, ErrDown)
+	d.countFailure(d.renewalEnd(err))
+	if errors.Is(err, ErrDown) {
+		d.recordRefusal()
+	}
 	down := d.down
 	d.updateUsableUntil()
 	failures := d.failures
--- a/internal/push/suspect.go
+++ b/internal/push/suspect.go
@@ -117,15 +117,18 @@
 }
 
 // openLosses returns the losses of the other targets that do not answer now.
-func (l *leader) openLosses(except graph.TargetID) []blame.Open[graph.TaskRef] {
-	var losses []blame.Open[graph.TaskRef]
+func (l *leader) openLosses(except graph.TargetID) []blame.Open[graph.TargetID, graph.TaskRef] {
+	var losses []blame.Open[graph.TargetID, graph.TaskRef]
 	for _, d := range l.allDrivers() {
 		if d.target.ID == except {
 			continue
 		}
 		d.mu.Lock()
 		if d.failures > 0 && !d.left {
-			open := blame.Open[graph.TaskRef]{Span: d.lost}
+			open := blame.Open[graph.TargetID, graph.TaskRef]{
+				Life: d.target.ID,
+				Span: d.lost,
+			}
 			for key := range d.runs {
 				open.Tasks = append(open.Tasks, key.task)
 			}
@@ -144,7 +147,7 @@
 	for _, c := range crashes {
 		for _, s := range c.suspects {
 			// A crash that is committed again counts once.
-			if s.weight <= 0 && s.blame.Weight == 0 || s.blame.Last == c.target {
+			if s.weight <= 0 && s.blame.Weight == 0 || slices.Contains(s.blame.Targets, c.target) {
 				continue
 			}
 			evidence = append(evidence, graph.Evidence{
@@ -190,19 +193,22 @@
 
 // withdrawCrash forgets the evidence of a crash of the target, which has answered since.
 func (d *driver) withdrawCrash() {
-	var tasks []graph.TaskRef
-	for _, assignment := range d.leader.scheduler.ledger.Assignments(d.target.ID) {
-		if assignment.Blame.Last == d.target.ID {
-			tasks = append(tasks, assignment.Task)
-		}
-	}
-	d.log.WithField("tasks", len(tasks)).Warn("target: has not crashed")
+	d.leader.losses.Withdraw(d.target.ID)
+	tasks := d.leader.scheduler.ledger.BlamedFor(d.target.ID)
 	if len(tasks) == 0 {
 		return
 	}
-	if _, fault := d.leader.propose(d.ctx, graph.Command{Clear: &graph.ClearSuspicion{Tasks: tasks}}); fault != nil {
+	d.log.WithField("tasks", len(tasks)).Warn("target: has not crashed")
+	d.leader.clearTasks(d, tasks)
+}
+
+// clearTasks commits that the tasks are suspected no more.
+func (l *leader) clearTasks(d *driver, tasks []graph.TaskRef) {
+	if _, fault := l.propose(d.ctx, graph.Command{Clear: &graph.ClearSuspicion{Tasks: tasks}}); fault != nil {
 		d.log.WithField("fault", fault.Error()).Warn("target: suspicion not cleared")
+		return
 	}
+	l.losses.Clear(tasks...)
 }
 
 // hasWeighedCrash reports whether the evidence of the target's crash is committed.
@@ -313,10 +319,7 @@
 	if len(cleared) == 0 {
 		return
 	}
-	_, fault := d.leader.propose(d.ctx, graph.Command{Clear: &graph.ClearSuspicion{Tasks: cleared}})
-	if fault != nil {
-		d.log.WithField("fault", fault.Error()).Warn("target: suspicion not cleared")
-	}
+	d.leader.clearTasks(d, cleared)
 }
 
 // logCrashes logs and counts the crashes under tasks.
--- a/pkg/blame/blame.go
+++ b/pkg/blame/blame.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	// priorOdds are the odds that a task of which nothing is known crashes machines.
 	priorOdds   = 0.01
 	weightScale = 100
+	// maxMoment is the longest span for which a loss counts in full as one of the same
+	// moment: a silent machine is noticed only by a call that is not answered.
+	maxMoment = 2 * time.Second
 	// minExposure is the shortest exposure that is told from others, and maxExposure the
 	// longest after which a task is taken for the cause.
 	minExposure = 10 * time.Millisecond
@@ -54,22 +58,14 @@
 	To   time.Time
 }
 
-// overlap returns the part of the span that lies in the other one, from zero to one.
+// overlap returns the probability that the machine was lost within the other span, if it
+// was lost in the same moment as that one's wherever both are possible. A long span says
+// little about the moment.
 func (s Span) overlap(other Span) float64 {
-	from, to := s.From, s.To
-	if other.From.After(from) {
-		from = other.From
-	}
-	if other.To.Before(to) {
-		to = other.To
-	}
-	switch {
-	case to.Before(from):
+	if s.To.Before(other.From) || other.To.Before(s.From) {
 		return 0
-	case !s.To.After(s.From):
-		return 1
 	}
-	return to.Sub(from).Seconds() / s.To.Sub(s.From).Seconds()
+	return min(1, float64(maxMoment)/float64(max(1, s.To.Sub(s.From))))
 }
 
 // Suspect is a task that was started on a machine not long before its crash. T is the type
@@ -93,7 +89,8 @@
 }
 
 // Open is a loss that is not recorded yet, with the tasks on the machine.
-type Open[T comparable] struct {
+type Open[L, T comparable] struct {
+	Life  L
 	Span  Span
 	Tasks []T
 }
@@ -111,7 +108,7 @@
 	Fleet    int
 	Observed int
 	// Open has the other machines that are lost and not recorded yet.
-	Open     []Open[T]
+	Open     []Open[L, T]
 	Suspects []Suspect[T]
 	// IsCleared reports whether the task has since run for much longer than the given
 	// exposure to a crash, so that it has not caused that.
@@ -126,30 +123,37 @@
 	defer m.mu.Unlock()
 	m.forget(c.Span.To)
 	delete(m.losses, c.Life)
-	lost := &loss[M, T]{
+	lost := &loss[M, L, T]{
 		machine:  c.Machine,
 		span:     c.Span,
 		known:    c.Known,
 		fleet:    c.Fleet,
 		observed: c.Observed,
+		open:     c.Open,
 	}
 	for _, suspect := range c.Suspects {
 		lost.causes = append(lost.causes, cause[T]{Suspect: suspect})
 	}
 	m.losses[c.Life] = lost
+	if m.isCommon(lost) {
+		lost.causes = nil
+	}
 	weights := make([]Weight, len(c.Suspects))
+	if len(lost.causes) == 0 {
+		return weights
+	}
 	for i, suspect := range c.Suspects {
 		if !suspect.Unseen {
-			weights[i] = m.weighLosses(suspect.Task, lost, c)
+			weights[i] = m.weighLosses(suspect.Task, c)
 		}
 		m.evidence[suspect.Task] = max(0, suspect.Weight+weights[i])
 	}
 	return weights
 }
 
-// weighLosses weighs all losses against the task, the last of which is the crash. It
-// returns by how much the evidence has grown. The lock must be held.
-func (m *Monitor[M, L, T]) weighLosses(task T, last *loss[M, T], c *Crash[M, L, T]) Weight {
+// weighLosses weighs all losses against the task, and returns by how much the evidence has
+// grown. The lock must be held.
+func (m *Monitor[M, L, T]) weighLosses(task T, c *Crash[M, L, T]) Weight {
 	var added Weight
 	for _, l := range m.losses {
 		for i := range l.causes {
@@ -158,9 +162,6 @@
 			}
 			l.causes[i].chance = m.rate(l, task) * l.causes[i].Exposure.Seconds()
 			coincidence := m.coincidence(l, task)
-			if l == last {
-				coincidence += l.share(c.Open, task)
-			}
 			added += l.weigh(i, coincidence, c.IsCleared)
 		}
 	}
@@ -171,14 +172,25 @@
 // loss, neither because of the task nor of another one, and so the probability that the
 // machine was lost with them. Machines that had the task as well are no sign of a common
 // reason. The lock must be held.
-func (m *Monitor[M, L, T]) coincidence(l *loss[M, T], task T) float64 {
-	lost := 0.0
+func (m *Monitor[M, L, T]) coincidence(l *loss[M, L, T], task T) float64 {
+	together, alone, without := 0.0, 0.0, 0.0
 	for _, other := range m.losses {
 		if other == l || other.mayHaveCause(task) {
 			continue
 		}
 		if overlap := other.span.overlap(l.span); overlap > 0 {
-			lost += overlap * m.chanceAlone(other, task)
+			together += overlap
+			without += overlap * m.chanceWithout(other, task)
+			alone += overlap * m.chanceAlone(other, task)
+		}
+	}
+	lost := alone
+	if together >= minCommonLosses {
+		lost = without
+	}
+	for _, open := range l.open {
+		if m.losses[open.Life] == nil && !slices.Contains(open.Tasks, task) {
+			lost += open.Span.overlap(l.span)
 		}
 	}
 	return lost / float64(max(1, l.observed))
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -75,7 +75,7 @@
 	for name, change := range map[string]func(*fleetCrash){
 		"long after the start": func(crash *fleetCrash) { crash.Suspects[0].Exposure = 5 * time.Second },
 		"machine just up":      func(crash *fleetCrash) { crash.Known = 20 * time.Millisecond },
-		"others at once":       func(crash *fleetCrash) { crash.Open = slices.Repeat([]Open[string]{{Span: crash.Span}}, 2) },
+		"others at once":       func(crash *fleetCrash) { crash.Open = slices.Repeat([]Open[int, string]{{Span: crash.Span}}, 2) },
 		"newer task":           func(crash *fleetCrash) { crash.Suspects = append(crash.Suspects, Suspect[string]{}) },
 	} {
 		crash := promptCrash()
@@ -149,7 +149,8 @@
 	m := NewMonitor[string, int, string](epoch)
 	first, second := promptCrash(), promptCrash()
 	second.Machine, second.Life = "b", 2
-	first.Open = []Open[string]{{
+	first.Open = []Open[int, string]{{
+		Life:  second.Life,
 		Span:  second.Span,
 		Tasks: []string{"suspect"},
 	}}
@@ -158,6 +159,78 @@
 	c.Check(weight+m.Weigh(second)[0] >= GiveUpWeight, qt.IsTrue)
 }
 
+// lostTogether returns what the losses of ten of 400 machines in the same moment, each with
+// one new task, and each time other machines, add up to for the tasks.
+func lostTogether(rounds int, exposure time.Duration) []Weight {
+	m := NewMonitor[string, int, string](epoch)
+	totals := make([]Weight, 10)
+	for round := range rounds {
+		for i := range totals {
+			life := round*len(totals) + i
+			crash := promptCrash()
+			crash.Machine, crash.Life = fmt.Sprint(life), life
+			crash.Span = spanAt(time.Minute + time.Duration(round)*5*time.Second)
+			crash.Fleet, crash.Observed = 400, 200
+			for k := i + 1; k < len(totals); k++ {
+				crash.Open = append(crash.Open, Open[int, string]{
+					Life: life + k - i,
+					Span: crash.Span,
+				})
+			}
+			crash.Suspects[0] = Suspect[string]{
+				Task:     fmt.Sprint(i),
+				Exposure: exposure,
+				Weight:   totals[i],
+			}
+			totals[i] = max(0, totals[i]+m.Weigh(crash)[0])
+		}
+	}
+	return totals
+}
+
+// Tasks that were lost together, each on a machine of its own, must not take each other for
+// the reasons of the other losses, and so be convicted at the third time.
+func TestTasksLostTogetherDoNotConvictEachOther(t *testing.T) {
+	for _, exposure := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+		totals := lostTogether(3, exposure)
+		qt.Check(t, slices.Max(totals) < GiveUpWeight, qt.IsTrue, qt.Commentf("%s: %v", exposure, totals))
+	}
+}
+
+// Machines that only their silence tells of are never recorded as lost. They must count
+// among those lost in the same moment also when the crash is weighed again.
+func TestSilentLossesCountWhenWeighedAgain(t *testing.T) {
+	c := qt.New(t)
+	m := NewMonitor[string, int, string](epoch)
+	var total Weight
+	for round := range 3 {
+		crash := promptCrash()
+		crash.Machine, crash.Life = fmt.Sprint(round), round
+		crash.Fleet, crash.Observed = 400, 200
+		crash.Span = spanAt(time.Minute + time.Duration(round)*5*time.Second)
+		crash.Open = slices.Repeat([]Open[int, string]{{
+			Life: -1,
+			Span: crash.Span,
+		}}, 10)
+		crash.Suspects[0].Weight = total
+		total = max(0, total+m.Weigh(crash)[0])
+	}
+	c.Check(total < GiveUpWeight, qt.IsTrue, qt.Commentf("%d", total))
+}
+
+// A crash that is withdrawn, as the machine answers again, must not come back when the next
+// one is weighed.
+func TestWithdrawnCrashIsForgotten(t *testing.T) {
+	c := qt.New(t)
+	m := NewMonitor[string, int, string](epoch)
+	m.Weigh(promptCrash())
+	m.Withdraw(1)
+	m.Clear("suspect")
+	second := promptCrash()
+	second.Life = 2
+	c.Check(m.Weigh(second)[0], qt.Equals, NewMonitor[string, int, string](epoch).Weigh(promptCrash())[0])
+}
+
 // What was not seen speaks against nobody, but it may be the cause.
 func TestUnseenSuspectIsNotBlamed(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/blame/fleet_test.go
+++ b/pkg/blame/fleet_test.go
@@ -139,7 +139,10 @@
 	}
 	for k, other := range f.machines {
 		if k != i && !other.up {
-			event.Open = append(event.Open, Open[*task]{Span: other.lost})
+			event.Open = append(event.Open, Open[time.Time, *task]{
+				Life: other.since.Add(time.Duration(k)),
+				Span: other.lost,
+			})
 		}
 	}
 	var suspects []*task
--- a/pkg/blame/monitor.go
+++ b/pkg/blame/monitor.go
@@ -16,6 +16,10 @@
 	// settleTime is added to each time of observation, so that a short one does not
 	// count as a sign of frequent losses.
 	settleTime = 5 * time.Second
+	// minCommonLosses and minCommonShare are how many other machines are lost in a moment,
+	// and what share, for a reason that they have in common.
+	minCommonLosses = 5
+	minCommonShare  = 0.1
 	// unsteadyShare is the share of machines that are taken for unsteady while nothing
 	// is known of them, and minLife the shortest life that is told from others.
 	unsteadyShare = 0.05
@@ -29,13 +33,13 @@
 	started time.Time
 
 	mu     sync.Mutex
-	losses map[L]*loss[M, T]
+	losses map[L]*loss[M, L, T]
 	// evidence has the evidence against the suspects of the losses.
 	evidence map[T]Weight
 }
 
 // loss is the end of one life of a machine.
-type loss[M, T comparable] struct {
+type loss[M, L, T comparable] struct {
 	machine M
 	span    Span
 	// known is how long the life was observed, and fleet the number of machines.
@@ -43,7 +47,10 @@
 	fleet int
 	// observed is the number of machines whose loss would have been noticed at once.
 	observed int
-	causes   []cause[T]
+	// open has the other losses that were not recorded then. Some never are, as only
+	// silence told of them.
+	open   []Open[L, T]
+	causes []cause[T]
 }
 
 // cause is a task that may have caused a loss.
@@ -58,7 +65,7 @@
 
 // weigh weighs the loss against one of its causes, and returns by how much the evidence
 // has grown. Causes that were cleared since do not explain the loss.
-func (l *loss[M, T]) weigh(i int, coincidence float64, isCleared func(T, time.Duration) bool) Weight {
+func (l *loss[M, L, T]) weigh(i int, coincidence float64, isCleared func(T, time.Duration) bool) Weight {
 	suspect := &l.causes[i]
 	chance := suspect.chance + coincidence
 	for k := range l.causes {
@@ -76,25 +83,30 @@
 }
 
 // mayHaveCause reports whether the task is one of those that may have caused the loss.
-func (l *loss[M, T]) mayHaveCause(task T) bool {
+func (l *loss[M, L, T]) mayHaveCause(task T) bool {
 	return slices.ContainsFunc(l.causes, func(c cause[T]) bool { return c.Task == task })
 }
 
-// share returns the fraction of the machines that were lost in the moment of the loss,
-// without those that had the task.
-func (l *loss[M, T]) share(others []Open[T], task T) float64 {
-	lost := 0.0
-	for _, other := range others {
-		if !slices.Contains(other.Tasks, task) {
-			lost += other.Span.overlap(l.span)
+// isCommon reports whether so many other machines were lost in the same moment that the
+// loss says nothing about any task. The lock must be held.
+func (m *Monitor[M, L, T]) isCommon(l *loss[M, L, T]) bool {
+	together := 0.0
+	for _, other := range m.losses {
+		if other != l {
+			together += other.span.overlap(l.span)
 		}
 	}
-	return lost / float64(max(1, l.observed))
+	for _, open := range l.open {
+		if m.losses[open.Life] == nil {
+			together += open.Span.overlap(l.span)
+		}
+	}
+	return together >= minCommonLosses && together/float64(max(1, l.observed)) >= minCommonShare
 }
 
 // chanceWithout returns the probability that the loss was caused neither by the task, if
 // that has never caused one, nor by another. The lock must be held.
-func (m *Monitor[M, L, T]) chanceWithout(l *loss[M, T], task T) float64 {
+func (m *Monitor[M, L, T]) chanceWithout(l *loss[M, L, T], task T) float64 {
 	chance := 1.0
 	for i := range l.causes {
 		if other := &l.causes[i]; other.Task != task {
@@ -104,10 +116,10 @@
 	return chance
 }
 
-// chanceAlone is chanceWithout for a loss that came together with others, by what it says
-// itself: several tasks may crash their machines in the same moment. The lock must be
+// chanceAlone is chanceWithout for a loss that came together with a few others, by what it
+// says itself: some tasks may crash their machines in the same moment. The lock must be
 // held.
-func (m *Monitor[M, L, T]) chanceAlone(l *loss[M, T], task T) float64 {
+func (m *Monitor[M, L, T]) chanceAlone(l *loss[M, L, T], task T) float64 {
 	chance := m.chanceWithout(l, task)
 	for i := range l.causes {
 		if other := &l.causes[i]; other.Task != task && !other.Unseen {
@@ -121,11 +133,33 @@
 func NewMonitor[M, L, T comparable](now time.Time) *Monitor[M, L, T] {
 	return &Monitor[M, L, T]{
 		started:  now,
-		losses:   map[L]*loss[M, T]{},
+		losses:   map[L]*loss[M, L, T]{},
 		evidence: map[T]Weight{},
 	}
 }
 
+// Withdraw forgets the loss, as the life goes on.
+func (m *Monitor[M, L, T]) Withdraw(life L) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.losses, life)
+	for _, l := range m.losses {
+		l.open = slices.DeleteFunc(l.open, func(o Open[L, T]) bool { return o.Life == life })
+	}
+}
+
+// Clear forgets what speaks against the tasks.
+func (m *Monitor[M, L, T]) Clear(tasks ...T) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.losses {
+		l.causes = slices.DeleteFunc(l.causes, func(c cause[T]) bool { return slices.Contains(tasks, c.Task) })
+	}
+	for _, task := range tasks {
+		delete(m.evidence, task)
+	}
+}
+
 // forget removes losses that count no more, and the evidence against their suspects. The
 // lock must be held.
 func (m *Monitor[M, L, T]) forget(now time.Time) {
@@ -146,7 +180,7 @@
 // the task has caused no loss: as often as those of the fleet, or more often if it may be
 // one that is lost again and again. One loss more than recorded is assumed, so that a
 // short observation promises nothing. The lock must be held.
-func (m *Monitor[M, L, T]) rate(lost *loss[M, T], task T) float64 {
+func (m *Monitor[M, L, T]) rate(lost *loss[M, L, T], task T) float64 {
 	all, own := 1.0, 0.0
 	for _, l := range m.losses {
 		if l == lost {
