Wake the driver of an idle target when a call to it fails

Work waited up to 10 s beside an idle target. A stop without an answer is found only after its timeout, and its target may have become idle by then. The failure puts the target out of use until a renewal is answered, and the driver sent none before the end of its idle wait.

The driver is woken with each failure that it counts outside its renewals.

--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -261,7 +261,8 @@
 }
 
 // recordAnswer updates the target's clock from an answer, or counts a failure if
-// there was none.
+// there was none. Only an answered renewal clears failures, so an idle target gets one
+// then.
 func (d *driver) recordAnswer(clock Clock, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -273,6 +274,7 @@
 	if errors.Is(err, ErrNoAnswer) && d.ctx.Err() == nil {
 		d.countFailure(errors.Is(err, ErrDown), 0)
 		d.updateUsableUntil()
+		d.wakeUp()
 	}
 }
 
