Drive the runs left of a replaced process at once

Tasks stayed for good with a target that was started again and then gone. The leader commits that the next process has replaced the older one, and removes the older one's driver. The next one got its driver only with a heartbeat whose announcement was known to be committed. If it was gone before, nobody ended the runs that it may have taken.

The next process now gets its driver with the replacement if runs are left, as it did when it was found by an answer.

--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -249,7 +249,8 @@
 // announce commits the announcement, after replacing any older incarnations of the
 // target.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
-	if fault := l.replaceOlder("newer lifetime announced", h.Announce.ID); fault != nil {
+	next := graph.Target{Announcement: h.Announce}
+	if fault := l.replaceAndDrive("newer lifetime announced", next); fault != nil {
 		return fault
 	}
 	if _, fault := l.propose(ctx, graph.Command{Target: &h.Announce}); fault != nil {
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -99,12 +99,22 @@
 // replaceByAnswer replaces the older incarnations of a target by one that has answered
 // an order. It may not have been announced yet.
 func (l *leader) replaceByAnswer(next graph.Target) *wire.Fault {
-	if fault := l.replaceOlder("another lifetime answered", next.ID); fault != nil {
+	if fault := l.replaceAndDrive("another lifetime answered", next); fault != nil {
 		return fault
 	}
 	l.mu.Lock()
 	l.newestIncarnation[next.ID.ID] = max(l.newestIncarnation[next.ID.ID], next.ID.Incarnation)
 	l.mu.Unlock()
+	return nil
+}
+
+// replaceAndDrive replaces the older incarnations of a target, and starts the driver of
+// the next one if runs of theirs are left. The next one may never get into the ledger, so
+// that nothing else would end these runs.
+func (l *leader) replaceAndDrive(why string, next graph.Target) *wire.Fault {
+	if fault := l.replaceOlder(why, next.ID); fault != nil {
+		return fault
+	}
 	if l.scheduler.ledger.RunCount(next.ID) > 0 {
 		l.ensureDriver(next)
 	}
--- a/internal/push/replace_test.go
+++ b/internal/push/replace_test.go
@@ -1,6 +1,7 @@
 package push
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -206,3 +207,25 @@
 	s.waitCompleted("b")
 	s.c.Check(s.sentRuns("b"), qt.Equals, uint32(1))
 }
+
+// A process that replaces another one may be gone before its announcement is known to be
+// committed. The runs that it may have taken were left without a driver, and their tasks
+// with them.
+func TestReplacedIncarnationWithoutAnnouncedNextIsEnded(t *testing.T) {
+	timing := testTiming()
+	timing.RenewalWait = time.Second
+	timing.MaxLease = time.Second
+	s := newFixtureWithTiming(t, timing, false, "w0")
+	s.waitIdle("w0")
+	s.fleet.withLock(func() { s.fleet.targets["w0"].delayedStarts = startAttempts })
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "start is sent", func() bool { return s.sentRuns("a") == 1 })
+	s.startDefaultTarget("w1", 1)
+	l := s.scheduler.currentLeader.Load()
+	ctx, cancel := context.WithCancel(s.ctx())
+	cancel()
+	_ = l.announce(ctx, &Heartbeat{Announce: defaultAnnouncement("w0", 2)})
+	s.fleet.withLock(func() { s.fleet.targets["w0"].down = true })
+	s.eventually(waitTimeout, "run of the older process is over", func() bool { return s.sentRuns("a") == 2 })
+	s.waitCompleted("a")
+}
