Start an uncertain placement once it is applied

A task could wait up to 10 s beside an idle target, which reserved room for it. A commit whose result does not come in time may still be applied. The leader then sends no starts for it, and leaves them to the target's driver, which sends them after a listing without the run. The driver of an idle target asked for none before the end of its idle wait.

The leader now counts placements of uncertain commits by target, and wakes the target's driver when a placement on it is applied. No other driver is woken, and there is no timer.

--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -61,6 +61,8 @@
 	// proposalsInFlight counts the proposals that contain them.
 	pendingPlacements map[graph.TaskRef]graph.TargetID
 	proposalsInFlight int
+	// uncertainPlacements counts the placements whose commit is uncertain, by target.
+	uncertainPlacements map[graph.TargetID]int
 	// admittedAt has the admission times of the jobs that this leader admitted
 	// and that have no placement yet.
 	admittedAt map[graph.JobID]time.Time
@@ -97,6 +99,8 @@
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
 
+		uncertainPlacements: map[graph.TargetID]int{},
+
 		admittedAt: map[graph.JobID]time.Time{},
 
 		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
@@ -190,6 +194,9 @@
 	case errors.Is(err, raft.ErrTooLarge):
 		return graph.Result{}, wire.NewFault(wire.CodeInternal, err.Error())
 	case err != nil:
+		if c.Place != nil {
+			l.recordUncertain(c.Place)
+		}
 		return graph.Result{}, wire.NewFault(wire.CodeUncertain, err.Error())
 	}
 	result, ok := value.(graph.Result)
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -90,6 +90,9 @@
 		return err
 	}
 	result := s.ledger.Apply(command)
+	if l := s.currentLeader.Load(); l != nil && command.Place != nil {
+		l.wakeUncertain(command.Place)
+	}
 	if command.Config != nil {
 		s.configuredAt.Store(time.Now().UnixMilli())
 		s.log.WithField("version", command.Config.Version).Info("config: in the log")
