Stop moving healthy tasks for ever as stalled

A task that needed longer than its siblings, or several times its estimate for its first percent, was stopped and begun anew again and again, and its job never completed. That it stood still was presumed from other tasks' times or the estimate, and a run that was moved never corrected these, as only completed runs count; nothing counted the moves either.

The leader now counts the moves of each task, and with each the time doubles after which the task counts as stalled. The first move comes as early as before. A task that is slower than its siblings is not moved if its progress predicts its end sooner than a sibling's whole run would take.

It can't be left alone altogether without a later first move of tasks that do stand still.

--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -44,6 +44,7 @@
 	targets   Targets
 
 	rater   *rating.Rater[plan.StepKey, graph.TargetID]
+	moves   *moves
 	waitLog *waitLog
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
@@ -96,6 +97,7 @@
 		started:           time.Now(),
 		wake:              make(chan struct{}, 1),
 		rater:             rating.NewRater[plan.StepKey, graph.TargetID](),
+		moves:             newMoves(),
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
 
@@ -214,6 +216,7 @@
 	for group.SleepContext(l.ctx, cleanupInterval) {
 		l.advice.removeEndedJobs()
 		l.removeEndedAdmissions()
+		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.scheduler.ledger.IsLive(step.Job) })
 		before := graph.Millis(time.Now().Add(-l.scheduler.timing.JobRetention).UnixMilli())
 		if l.scheduler.ledger.CountEnded(before) < minPrunedJobs {
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -26,7 +26,7 @@
 	stallPercentFactor = 4
 	// siblingStallFactor is the ratio of a task's run time to that of its
 	// siblings at which it counts as stalled, unless it is predicted to end
-	// within nearCompletion.
+	// within nearCompletion, or sooner than a new run would.
 	siblingStallFactor = 2.5
 	nearCompletion     = 500 * time.Millisecond
 )
@@ -69,6 +69,7 @@
 				tasksToSpeculate = append(tasksToSpeculate, r.Task)
 			}
 		case stalled && assignment.Movable:
+			d.leader.moves.record(r.Task, r.Run)
 			tasksToEvict = append(tasksToEvict, r.Task)
 		}
 	}
@@ -80,15 +81,18 @@
 }
 
 // updateProgress records the progress of one run, and reports whether it is
-// stalled, either by its own progress or compared with its siblings.
+// stalled, either by its own progress or compared with its siblings. Both take longer
+// after each move of the task.
 func (d *driver) updateProgress(key runKey, assignment graph.Assignment, percent float64, now time.Time) bool {
 	step := plan.StepKeyOf(key.task)
-	expected := cmp.Or(d.leader.rater.LongestRun(step), time.Duration(assignment.Estimate)*time.Millisecond)
+	longestSibling := d.leader.rater.LongestRun(step)
+	expected := cmp.Or(longestSibling, time.Duration(assignment.Estimate)*time.Millisecond)
+	patience := d.leader.moves.patience(key.task)
 	d.mu.Lock()
 	info := d.runInfo(key)
 	info.endNotAwaited = assignment.LongRunning || assignment.BestEffort
 	info.progress.Update(now, percent)
-	stalled := info.progress.IsStalled(stallTimeout, stallPercentFactor, expected)
+	stalled := info.progress.IsStalled(time.Duration(patience)*stallTimeout, patience*stallPercentFactor, expected)
 	completesAt, predicted := info.progress.EstimatedCompletion()
 	endNotAwaited := info.endNotAwaited
 	d.mu.Unlock()
@@ -97,10 +101,10 @@
 		return false
 	case stalled:
 		return true
-	case predicted && completesAt.Sub(now) < nearCompletion:
+	case predicted && completesAt.Sub(now) < max(nearCompletion, longestSibling):
 		return false
 	}
-	return d.leader.rater.Stalled(step, key.task.Index, siblingStallFactor, now)
+	return d.leader.rater.Stalled(step, key.task.Index, float64(patience)*siblingStallFactor, now)
 }
 
 // expectedEnd predicts the end of a run on the target from its progress.
