Hold no room for tasks that the client account's limit keeps from starting

Room was held for a gang of which one task fits in its client account's limit, but not all, and less urgent work was kept out of it for as long as the gang waited. That one task fits was taken for a sign that the gang can start. Room for large tasks was held for all of them in the same way.

Room is now held for as many tasks as the limit lets start, for a gang all or none. A gang that can't start for this reason is shown as waiting for the limit, and takes no calls to the advisor, like single tasks.

Measured: beside a gang of 4 tasks above the limit a small task on two free targets was not placed, and is now placed by the first decision.

--- a/internal/plan/hold_test.go
+++ b/internal/plan/hold_test.go
@@ -199,3 +199,42 @@
 	d := f.decide()
 	c.Assert(d.AdviceRequests[0].Targets[0], qt.Equals, "w00")
 }
+
+// A gang of which one task, but not all, fit in its client account's limit can't start.
+// Room was held for it all the same, and kept less urgent work out for good.
+func TestNoRoomIsHeldForGangAboveClientAccountLimit(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(2, quota.Resources{CPU: 6000})
+	gang := newStep(4, 4000)
+	gang.Gang = true
+	f.submit("urgent", "gang", gang)
+	f.submit("batch", "small", newStep(1, 1000))
+	d := f.decide()
+	c.Check(d.Holds, qt.HasLen, 0)
+	c.Check(placedJobs(d)["small"], qt.Equals, 1)
+	c.Check(d.WaitReasons[StepKey{Job: "gang"}], qt.Equals, ReasonClientAccountLimit)
+}
+
+// Without held room, a gang that its client account's limit keeps from starting would take
+// calls to the advisor for further targets from the others.
+func TestNoAdviceForGangAboveClientAccountLimit(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(2, quota.Resources{CPU: 6000})
+	gang := newStep(4, 4000)
+	gang.Gang = true
+	f.submit("advised", "gang", gang)
+	c.Check(f.decide().AdviceRequests, qt.HasLen, 0)
+}
+
+// Room for large tasks was held for all that wait, although the client account's limit lets
+// only some of them start.
+func TestRoomIsHeldForTasksWithinClientAccountLimit(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(2, quota.Resources{CPU: 18000})
+	f.submit("urgent", "first", newStep(2, 5000))
+	c.Assert(f.commit(f.decide()), qt.HasLen, 2)
+	f.submit("urgent", "large", newStep(2, 8000))
+	hold := f.decide().Holds[StepKey{Job: "large"}]
+	c.Assert(hold, qt.IsNotNil)
+	c.Check(hold.Targets, qt.HasLen, 1)
+}
