Overrule a heartbeat number that is too high under each leader

An announcement of another writer with a number far above the target's own froze the target's record after a change of the leader: all announcements of the target counted as late for the rest of its life, and its changes were ignored. That the recorded number is the target's own was never weighed again by a leader that had not seen it come. It was not in the same leader either, if the heartbeat with which the numbers began anew changed nothing.

A leader now starts from the recorded number, so that it sees that the numbers are below it. Once they have begun anew it proposes announcements without a number as long as the recorded one is from before. What replicas apply is unchanged.

--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -156,10 +156,10 @@
 		}).Info("target: ignored a heartbeat from an ended lifetime")
 		return nil
 	}
-	if l.isLateHeartbeat(&h.Announce) && !h.Announce.Leaving {
+	known, ok := l.scheduler.ledger.Target(id)
+	if l.isLateHeartbeat(&h.Announce, known.Seq) && !h.Announce.Leaving {
 		return nil
 	}
-	known, ok := l.scheduler.ledger.Target(id)
 	for !ok || announcementChanged(&known, &h.Announce) {
 		done, first := l.claimAnnouncement(id)
 		if first {
--- a/internal/push/heartbeats.go
+++ b/internal/push/heartbeats.go
@@ -18,6 +18,8 @@
 	// rose one after the other.
 	late        uint64
 	lateInOrder int
+	// begunAnew is true once the numbers have begun anew.
+	begunAnew bool
 }
 
 // record records the number of a heartbeat that has arrived. It reports whether the
@@ -40,20 +42,28 @@
 	}
 	o.highest = seq
 	o.lateInOrder = 0
+	o.begunAnew = true
 	return false, true
 }
 
+// overrules reports whether the number is from before the numbers began anew.
+func (o *heartbeatOrder) overrules(seq uint64) bool {
+	return o.begunAnew && seq > o.highest
+}
+
 // isLateHeartbeat reports whether a later heartbeat of the incarnation has arrived
-// already. It takes the number from a heartbeat with which the numbers begin anew, so
-// that the ledger takes it as well.
-func (l *leader) isLateHeartbeat(a *graph.Announcement) bool {
+// already, here or at an earlier leader that has recorded its number. As long as the
+// recorded number is from before the numbers began anew, it takes the number from the
+// heartbeat, so that the ledger takes what it says.
+func (l *leader) isLateHeartbeat(a *graph.Announcement, recorded uint64) bool {
 	l.mu.Lock()
 	order := l.heartbeatOrders[a.ID]
 	if order == nil {
-		order = &heartbeatOrder{}
+		order = &heartbeatOrder{highest: recorded}
 		l.heartbeatOrders[a.ID] = order
 	}
 	late, anew := order.record(a.Seq)
+	overruled := anew || !late && order.overrules(recorded)
 	l.mu.Unlock()
 	if late || anew {
 		l.log.WithFields(logrus.Fields{
@@ -62,7 +72,7 @@
 			"anew":   anew,
 		}).Info("target: heartbeat out of order")
 	}
-	if anew {
+	if overruled {
 		a.Seq = 0
 	}
 	return late
--- a/internal/push/heartbeats_test.go
+++ b/internal/push/heartbeats_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
 // Heartbeats that were held up must not count, also if several come in a row, but those of
@@ -79,3 +81,64 @@
 		c.Check(anew, qt.Equals, beat.anew, qt.Commentf("seq %d", beat.seq))
 	}
 }
+
+// An announcement of another writer may have a number far above the target's own. A leader
+// that did not see it come took all later announcements for late ones.
+func TestNewLeaderOverrulesAnnouncementWithHugeNumber(t *testing.T) {
+	s := newFixture(t, false)
+	odd := defaultAnnouncement("w0", 1)
+	odd.Service = "other"
+	odd.Seq = 1 << 50
+	l := s.scheduler.currentLeader.Load()
+	_, fault := l.propose(s.ctx(), graph.Command{Target: &odd})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	for seq := uint64(5); seq < 5+2*maxLateInOrder+2; seq++ {
+		own := defaultAnnouncement("w0", 1)
+		own.Seq = seq
+		fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{Announce: own})
+		s.c.Assert(fault == nil, qt.IsTrue)
+	}
+	target, _ := s.scheduler.ledger.Target(odd.ID)
+	s.c.Check(target.Service, qt.Equals, "s")
+}
+
+// The heartbeat with which the numbers begin anew may change nothing, so that the ledger
+// keeps the number that is too high. Later changes were taken for late ones then.
+func TestChangeAfterNumbersBeganAnewIsTaken(t *testing.T) {
+	s := newFixture(t, false)
+	forward := func(a *graph.Announcement) {
+		s.c.Helper()
+		fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{Announce: *a})
+		s.c.Assert(fault == nil, qt.IsTrue)
+	}
+	odd := defaultAnnouncement("w0", 1)
+	odd.Seq = 1 << 50
+	forward(&odd)
+	own := defaultAnnouncement("w0", 1)
+	for own.Seq = 5; own.Seq <= 5+maxLateInOrder; own.Seq++ {
+		forward(&own)
+	}
+	own.Service = "other"
+	forward(&own)
+	target, _ := s.scheduler.ledger.Target(odd.ID)
+	s.c.Check(target.Service, qt.Equals, "other")
+}
+
+// A heartbeat that was held up while the leader changed must not undo what a later one has
+// said to the leader before, nor may three of them in a row.
+func TestNewLeaderIgnoresHeartbeatsBelowRecordedNumber(t *testing.T) {
+	s := newFixture(t, false)
+	recorded := defaultAnnouncement("w0", 1)
+	recorded.Seq = 10
+	l := s.scheduler.currentLeader.Load()
+	_, fault := l.propose(s.ctx(), graph.Command{Target: &recorded})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	late := recorded
+	late.Service = "other"
+	for late.Seq = recorded.Seq - maxLateInOrder; late.Seq < recorded.Seq; late.Seq++ {
+		fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{Announce: late})
+		s.c.Assert(fault == nil, qt.IsTrue)
+	}
+	target, _ := s.scheduler.ledger.Target(recorded.ID)
+	s.c.Check(target.Service, qt.Equals, "s")
+}
