--- a/pkg/blame/blame.go
+++ b/pkg/blame/blame.go
@@ -30,8 +30,8 @@
 	// maxMoment is the longest span for which a loss counts in full as one of the same
 	// moment: a silent machine is noticed only by a call that is not answered.
 	maxMoment = 2 * time.Second
-	// minExposure is the shortest exposure that is told from others, and maxExposure the
-	// longest after which a task is taken for the cause.
+	// minExposure and maxExposure bound the time that a task which crashes its machines is
+	// taken to need for it. No exposure is refused for lying beyond them.
 	minExposure = 10 * time.Millisecond
 	maxExposure = 5 * time.Second
 )
@@ -58,9 +58,9 @@
 	To   time.Time
 }
 
-// overlap returns the probability that the machine was lost within the other span, if it
-// was lost in the same moment as that one's wherever both are possible. A long span says
-// little about the moment.
+// overlap returns how much the machine counts as lost in the same moment as that of the
+// other span: in full if both spans meet, and less if its own is too long to say much of
+// the moment.
 func (s Span) overlap(other Span) float64 {
 	if s.To.Before(other.From) || other.To.Before(s.From) {
 		return 0
@@ -116,8 +116,8 @@
 }
 
 // Weigh records the crash and returns what it adds to the evidence against each of its
-// suspects. Earlier crashes are weighed again for those that other suspects of them were
-// cleared of since.
+// suspects. Their earlier crashes are weighed again, as other suspects of these may have
+// been cleared since.
 func (m *Monitor[M, L, T]) Weigh(c *Crash[M, L, T]) []Weight {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -161,8 +161,7 @@
 				continue
 			}
 			l.causes[i].chance = m.rate(l, task) * l.causes[i].Exposure.Seconds()
-			coincidence := m.coincidence(l, task)
-			added += l.weigh(i, coincidence, c.IsCleared)
+			added += l.weigh(i, m.coincidence(l, task), c.IsCleared)
 		}
 	}
 	return added
--- a/pkg/blame/blame_test.go
+++ b/pkg/blame/blame_test.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// fleetCrash is a crash of a machine, which is one of ten.
+// fleetCrash is a crash of a machine of a fleet.
 type fleetCrash = Crash[string, int, string]
 
 // promptCrash returns a crash of a machine that was up for a minute, 20 ms after the start
