Take back that no room is held for gangs over their account's limit

A gang that waits for its account's limit also got no advice in advance, and tenants at their limit were served worse.

--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -35,7 +35,7 @@
 // requestAdvice requests advice that the step needs for its waiting tasks to
 // start. It requests none that would not let a task start soon.
 func (p *planner) requestAdvice(step *pendingStep, advice *StepAdvice, hold *Hold) {
-	if advice != nil && advice.InFlight || !p.canRequestAdvice(step) || !p.withinClientAccountLimit(step, p.tasksAtOnce(step)) {
+	if advice != nil && advice.InFlight || !p.canRequestAdvice(step) || !p.withinClientAccountLimit(step) {
 		return
 	}
 	request := AdviceRequest{
--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -79,11 +79,10 @@
 
 // holdRoom holds room for the waiting tasks of the step on the targets where they
 // fit first: for all members of a gang or none, and for as many other tasks as fit
-// soon enough. A target is held for one step only, and no room is held for tasks that
-// the client account's limit keeps from starting. It returns nil if it holds none.
+// soon enough. A target is held for one step only. It returns nil if it holds none.
 func (p *planner) holdRoom(step *pendingStep, advice *StepAdvice) *Hold {
 	maxAhead := time.Duration(step.spec.Estimate) * time.Millisecond * maxHoldFactor
-	missing := p.startableTasks(step)
+	missing := p.waitingTasks(step)
 	var chosen []fitOption
 	for _, option := range p.fitOptions(step, advice) {
 		if missing == 0 || option.at.Sub(p.input.Now) > maxAhead {
@@ -105,16 +104,6 @@
 	return p.recordHold(step, chosen)
 }
 
-// startableTasks returns how many waiting tasks of the step the client account's limit
-// lets start now: all of a gang or none.
-func (p *planner) startableTasks(step *pendingStep) int {
-	waiting := p.waitingTasks(step)
-	if step.spec.Gang && !p.withinClientAccountLimit(step, waiting) {
-		return 0
-	}
-	return sort.Search(waiting, func(i int) bool { return !p.withinClientAccountLimit(step, i+1) })
-}
-
 // startTogether lets all members of a gang start when the last of them fits.
 func startTogether(options []fitOption) {
 	var last time.Time
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -37,7 +37,7 @@
 		return
 	}
 	var hold *Hold
-	if mayPlace && p.needsHold(step) {
+	if mayPlace && p.needsHold(step) && p.withinClientAccountLimit(step) {
 		hold = p.holdRoom(step, advice)
 	}
 	p.decision.WaitReasons[step.key] = p.waitReason(step, advice)
@@ -139,7 +139,7 @@
 // waitReason returns why the next task of the step cannot be placed now.
 func (p *planner) waitReason(step *pendingStep, advice *StepAdvice) WaitReason {
 	switch {
-	case !p.withinClientAccountLimit(step, p.tasksAtOnce(step)):
+	case !p.withinClientAccountLimit(step):
 		return ReasonClientAccountLimit
 	case step.queue != nil && step.queue.Advice != nil && (advice == nil || advice.InFlight):
 		return ReasonNoAdvice
@@ -160,23 +160,14 @@
 	return false
 }
 
-// tasksAtOnce returns how many tasks of the step have to start together: all of a
-// gang, or one.
-func (p *planner) tasksAtOnce(step *pendingStep) int {
-	if step.spec.Gang {
-		return p.waitingTasks(step)
-	}
-	return 1
-}
-
-// withinClientAccountLimit reports whether the number of further tasks of the step
-// stays within the client account's limit.
-func (p *planner) withinClientAccountLimit(step *pendingStep, tasks int) bool {
+// withinClientAccountLimit reports whether one more task of the step stays
+// within the client account's limit.
+func (p *planner) withinClientAccountLimit(step *pendingStep) bool {
 	usage, account := p.input.View.ClientAccount(step.job.ClientAccount)
 	if account == nil {
 		return true
 	}
-	total := usage.Add(p.usedByClientAccount[step.job.ClientAccount]).Add(step.spec.Resources.Times(tasks))
+	total := usage.Add(p.usedByClientAccount[step.job.ClientAccount]).Add(step.spec.Resources)
 	return graph.WithinLimit(total, p.clientAccountLimit(step, account))
 }
 
@@ -197,7 +188,7 @@
 
 // selectTarget returns the target with the highest score for a task, or nil.
 func (p *planner) selectTarget(step *pendingStep, ref graph.TaskRef, advice *StepAdvice) *targetState {
-	if !p.withinClientAccountLimit(step, 1) {
+	if !p.withinClientAccountLimit(step) {
 		return nil
 	}
 	suspect := p.isSuspect(step.job, ref)
