--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -99,6 +99,16 @@
 	return n
 }
 
+// worker returns the worker with the id.
+func (f *fleet) worker(id string) *worker {
+	for _, w := range f.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
 // workerOf returns a worker with a run of the submission, or nil.
 func (f *fleet) workerOf(id string) *worker {
 	f.mu.Lock()
@@ -144,3 +154,10 @@
 	}
 	return n
 }
+
+// zoneLabels gives all workers of a zone a kind of their own.
+func zoneLabels(i int) []string {
+	labels := sameLabels(i)
+	labels[0] = zoneOf(i)
+	return labels
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -36,6 +36,8 @@
 		"hopeless-gang":  playHopelessGang,
 		"reserved":       playReserved,
 		"unhealthy":      playUnhealthy,
+		"frozen-relay":   playFrozenRelay,
+		"reborn":         playReborn,
 	}
 }
 
--- a/review/stand2/plays.go
+++ b/review/stand2/plays.go
@@ -412,3 +412,87 @@
 		"it is shown as %s, %d of %d workers are idle and healthy, and %s has answered %d starts with 503",
 		id, state, workerCount-1, workerCount, w.id, refused)}, nil
 }
+
+// playFrozenRelay freezes a core machine that does not lead while orders for the workers of
+// its zone are on their way, and restarts one of these workers meanwhile. Rule TWICE.
+func playFrozenRelay(r *rig, trouble bool) ([]string, error) {
+	if err := r.start(zoneLabels, false); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	leader := r.leader()
+	if leader == nil {
+		return nil, fmt.Errorf("%w: no leader", errSetup)
+	}
+	number := 1
+	if leader == r.cores[0] {
+		number = 2
+	}
+	relay := r.cores[number-1]
+	const (
+		freeze = 4 * time.Second
+		down   = time.Second
+	)
+	frozen := time.Now()
+	if trouble {
+		relay.signal(syscall.SIGSTOP)
+		time.AfterFunc(freeze, func() { relay.signal(syscall.SIGCONT) })
+	}
+	id := newID()
+	if status := r.submit(r.edges[0], owner, id, "work=500ms", step{
+		"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": 500, "required_label": zoneOf(number),
+	}); status != http.StatusOK {
+		return nil, fmt.Errorf("%w: the submission was answered %d", errSetup, status)
+	}
+	if err := r.waitFor("the end", func() bool { return r.stateOf(owner, id) == "completed" }); err != nil {
+		return nil, err
+	}
+	events := r.fleet.runsOf(id)
+	w := r.fleet.worker(events[len(events)-1].worker)
+	if trouble {
+		time.Sleep(time.Until(frozen.Add(freeze - 1500*time.Millisecond)))
+		w.crash()
+		time.Sleep(down)
+		if err := w.startLife(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	r.stateOf(owner, id)
+	return r.fleet.breaksOfTwice(), nil
+}
+
+// playReborn has the answers and reports of a worker get lost, and has the worker crash and
+// start again under its id meanwhile. Rule TWICE.
+func playReborn(r *rig, trouble bool) ([]string, error) {
+	if err := r.start(sameLabels, false); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	w := r.fleet.workers[0]
+	if trouble {
+		r.record.add("disrupt", "the answers and reports of %s get lost for %s", w.id, cutTime)
+		w.setCut(true)
+		time.AfterFunc(cutTime, func() {
+			w.setCut(false)
+			r.record.add("disrupt", "the answers and reports of %s arrive again", w.id)
+		})
+		w.crash()
+		time.Sleep(50 * time.Millisecond)
+		if err := w.startLife(); err != nil {
+			return nil, err
+		}
+	}
+	id := newID()
+	if status := r.submit(r.edges[0], owner, id, "work=15s", step{
+		"count": 2, "cpu": 2000, "mem_mb": 256, "estimate_ms": 15000,
+	}); status != http.StatusOK {
+		return nil, fmt.Errorf("%w: the submission was answered %d", errSetup, status)
+	}
+	time.Sleep(12 * time.Second)
+	r.stateOf(owner, id)
+	return r.fleet.breaksOfTwice(), nil
+}
+
+// cutTime is for how long the answers of a worker get lost.
+const cutTime = 5500 * time.Millisecond
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -52,16 +53,18 @@
 	held    bool
 	// unhealthy workers answer each start with 503.
 	unhealthy bool
-	refused   int
-	born      int64
-	started   time.Time
-	token     uint64
-	lease     int64
-	endSeq    uint64
-	beats     uint64
-	running   map[string]*taskRun
-	latest    map[string]uint32
-	ended     []endedRun
+	// cut workers get orders, and none of their answers and reports arrives.
+	cut     bool
+	refused int
+	born    int64
+	started time.Time
+	token   uint64
+	lease   int64
+	endSeq  uint64
+	beats   uint64
+	running map[string]*taskRun
+	latest  map[string]uint32
+	ended   []endedRun
 }
 
 // taskRun is a run in progress.
@@ -159,6 +162,13 @@
 	w.unhealthy = unhealthy
 }
 
+// setCut makes the answers and reports of the worker arrive no more, or again.
+func (w *worker) setCut(cut bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.cut = cut
+}
+
 // note records a start or an end. The lock must be held.
 func (f *fleet) note(w *worker, task string, run uint32, how string) {
 	f.history = append(f.history, event{
@@ -186,12 +196,15 @@
 		}
 		w.beats++
 		body, err := json.Marshal(w.status())
-		next := int(w.beats)
+		next, cut := int(w.beats), w.cut
 		w.fleet.mu.Unlock()
 		if err != nil {
 			return
 		}
 		for i := range coreCount {
+			if cut {
+				break
+			}
 			core := w.fleet.rig.cores[(next+i)%coreCount]
 			if status := w.fleet.rig.sendReport(core, w.id, body); status == http.StatusOK {
 				break
@@ -249,6 +262,12 @@
 			out.WriteHeader(http.StatusMisdirectedRequest)
 		case o.Token < w.token:
 			w.answer(out, http.StatusConflict, "fence")
+		case w.cut:
+			w.token = o.Token
+			carryOut(httptest.NewRecorder(), r, o)
+			w.fleet.mu.Unlock()
+			<-r.Context().Done()
+			w.fleet.mu.Lock()
 		default:
 			w.token = o.Token
 			carryOut(out, r, o)
