review: the stand-ins set a worker's time of day back

Change: a play for it; the play of a worker that crashes again and again is removed, as it never failed.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -29,7 +29,6 @@
 	return map[string]play{
 		"foreign-report": playForeignReport,
 		"lasting-done":   playLastingDone,
-		"flaky-worker":   playFlakyWorker,
 		"lost-answer":    playLostAnswer,
 		"pending":        playPending,
 		"late-request":   playLateRequest,
@@ -38,6 +37,7 @@
 		"unhealthy":      playUnhealthy,
 		"frozen-relay":   playFrozenRelay,
 		"reborn":         playReborn,
+		"clock-back":     playClockBack,
 	}
 }
 
--- a/review/stand2/rig.go
+++ b/review/stand2/rig.go
@@ -55,6 +55,8 @@
 	taken   map[int]bool
 	// limit is what the first tenant may have running, in thousandths of a core, or zero.
 	limit int
+	// skew is how far the time of day of a worker is ahead at first.
+	skew map[int]time.Duration
 }
 
 // ports are the same on all machines.
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -57,6 +57,8 @@
 	cut     bool
 	refused int
 	born    int64
+	// skew is how far the time of day of the worker is ahead.
+	skew    time.Duration
 	started time.Time
 	token   uint64
 	lease   int64
@@ -101,6 +103,7 @@
 		address: fmt.Sprintf("%s:%d", f.rig.ip(3, i), f.rig.ports.worker),
 		zone:    zoneOf(i),
 		labels:  labels,
+		skew:    f.rig.skew[i],
 	}
 	f.mu.Lock()
 	f.workers = append(f.workers, w)
@@ -127,7 +130,7 @@
 	w.server = server
 	w.up = true
 	w.started = time.Now()
-	w.born = w.started.UnixMilli()
+	w.born = w.started.Add(w.skew).UnixMilli()
 	w.token, w.lease, w.endSeq, w.beats = 0, 0, 0, 0
 	w.running, w.latest, w.ended = map[string]*taskRun{}, map[string]uint32{}, nil
 	w.fleet.rig.record.add("worker", "%s starts, born %d, labels %v", w.id, w.born, w.labels)
