--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -38,6 +38,7 @@
 		"frozen-relay":   playFrozenRelay,
 		"reborn":         playReborn,
 		"clock-back":     playClockBack,
+		"late-done":      playLateDone,
 	}
 }
 
--- a/review/stand2/plays.go
+++ b/review/stand2/plays.go
@@ -496,3 +496,44 @@
 	lost, err := r.checkServed(owner, own)
 	return append(breaks, lost...), err
 }
+
+// playLateDone cuts a worker off while the first step of a submission ends done there, and
+// has urgent work wait for the same worker meanwhile. Rule LOST.
+func playLateDone(r *rig, trouble bool) ([]string, error) {
+	if err := r.start(oneOwnLabel, false); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	w := r.fleet.workers[0]
+	c := caller{
+		queue: batch,
+		key:   ownKey,
+	}
+	id, lasting := newID(), newID()
+	if status := r.submit(r.edges[0], c, id, "work=3s",
+		step{"count": 1, "cpu": 10000, "mem_mb": 256, "estimate_ms": 3000, "required_label": "b"},
+		step{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": 3000, "depends_on": []int{0}},
+	); status != http.StatusOK {
+		return nil, fmt.Errorf("%w: the submission was answered %d", errSetup, status)
+	}
+	if err := r.waitFor("the first step at work", func() bool { return r.fleet.atWork(id) == 1 }); err != nil {
+		return nil, err
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		const long = 6 * time.Second
+		r.record.add("disrupt", "%s is cut off for %s", w.id, long)
+		w.setDeaf(true)
+		time.AfterFunc(long, func() {
+			w.setDeaf(false)
+			r.record.add("disrupt", "%s is reached again", w.id)
+		})
+	}
+	time.Sleep(time.Second)
+	if status := r.submit(r.edges[0], owner, lasting, "work=0s", step{
+		"count": 1, "cpu": 10000, "mem_mb": 256, "estimate_ms": 500, "long_running": true, "required_label": "b",
+	}); status != http.StatusOK {
+		return nil, fmt.Errorf("%w: the submission was answered %d", errSetup, status)
+	}
+	return r.checkServed(c, id)
+}
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -53,8 +53,10 @@
 	held    bool
 	// unhealthy workers answer each start with 503.
 	unhealthy bool
-	// cut workers get orders, and none of their answers and reports arrives.
+	// cut is true while none of the worker's answers and reports arrives, and deaf while
+	// no order reaches it either.
 	cut     bool
+	deaf    bool
 	refused int
 	born    int64
 	// skew is how far the time of day of the worker is ahead.
@@ -172,6 +174,13 @@
 	w.cut = cut
 }
 
+// setDeaf cuts the worker off in both directions, or ends that.
+func (w *worker) setDeaf(deaf bool) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.cut, w.deaf = deaf, deaf
+}
+
 // note records a start or an end. The lock must be held.
 func (f *fleet) note(w *worker, task string, run uint32, how string) {
 	f.history = append(f.history, event{
@@ -257,6 +266,12 @@
 		err := json.NewDecoder(r.Body).Decode(&o)
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
+		if w.deaf {
+			w.fleet.mu.Unlock()
+			<-r.Context().Done()
+			w.fleet.mu.Lock()
+			return
+		}
 		expected := r.Header.Get("X-Jasmineward-Expect-Instance")
 		switch {
 		case err != nil:
