Wait for the longest lease where a later process may hold a run

Cause: the end of a silent target's lease was counted from the deadline that was sent, a time on the clock of the process that was known. A later process of the target takes the same start with a clock that began anew, and grants its longest lease.

Change: when the lease of a silent target is over, only those runs are over that no later process can hold; the others wait for the longest lease since the last order with a deadline had arrived or was lost. An answered listing that was asked for after that, or an answer to the only start with a clock that did not begin anew, confines a run to the process.

--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -44,6 +44,8 @@
 	answerSentAt time.Time
 	// leaseExpiry is when the lease has expired even if the target's clock is slow.
 	leaseExpiry time.Time
+	// grantsArriveBy is when the last order with a deadline is not on its way any more.
+	grantsArriveBy time.Time
 	// failures counts the failed calls since the last answered renewal. The first
 	// attempt of a start is not counted.
 	failures int
@@ -63,6 +65,8 @@
 	weighed bool
 	// contacted is true once the target has answered a renewal.
 	contacted bool
+	// outliving is the number of runs that were kept beyond the lease of the silent target.
+	outliving int
 	// inherited is the set of runs that an earlier leader placed, and adopted the set
 	// of those that the target's process may have taken for an older incarnation.
 	inherited map[runKey]bool
@@ -99,6 +103,8 @@
 		runs:        map[runKey]*runInfo{},
 		leaseExpiry: l.latestLeaseExpiry(l.started),
 		heartbeatAt: time.Now(),
+		// An earlier leader's orders may have been on their way.
+		grantsArriveBy: l.started.Add(l.scheduler.timing.CallTimeout),
 
 		inherited: map[runKey]bool{},
 		adopted:   map[runKey]bool{},
@@ -116,6 +122,7 @@
 			continue
 		}
 		d.adopted[key] = true
+		d.grantsArriveBy = time.Now().Add(d.leader.scheduler.timing.CallTimeout)
 		d.leaseExpiry = d.leader.leaseExpiry(time.Now(), d.leader.scheduler.timing.MaxLease)
 	}
 }
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -45,6 +45,10 @@
 	ended      []EndedRun
 	seq        uint64
 	silent     bool
+	// answersLost is true while the target carries orders out and its answers get lost.
+	answersLost bool
+	// clockBehind is by how much less than an hour the target's clock reads at its start.
+	clockBehind Clock
 	// down is true after a crash: nothing listens at the target's address.
 	down bool
 	// silentFromStart makes the target fall silent at the next start, before it takes
@@ -68,6 +72,8 @@
 	mu      sync.Mutex
 	targets map[string]*fakeTarget
 	runTime time.Duration
+	// maxLease is the longest lease that a target grants, or zero if it grants any.
+	maxLease time.Duration
 	// failedRuns is the highest run number of a task that ends as failed.
 	failedRuns uint32
 	// stopDelay is how long a run that is being stopped is in neither list.
@@ -99,7 +105,7 @@
 )
 
 func (t *fakeTarget) clock() Clock {
-	return Clock(time.Since(t.startedAt)) + Clock(time.Hour)
+	return Clock(time.Since(t.startedAt)) + Clock(time.Hour) - t.clockBehind
 }
 
 // applyDueEnds ends the runs that are due to end.
@@ -170,6 +176,13 @@
 		f.crashed(t.ID.ID)
 		return 0, ErrNoAnswer
 	}
+	if target.answersLost {
+		_ = f.acceptStart(target, t.ID.ID, order)
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return 0, ErrNoAnswer
+	}
 	if target.silentFromStart {
 		target.silent = true
 		f.mu.Unlock()
@@ -208,7 +221,7 @@
 			f.doubleRuns = append(f.doubleRuns, order.Task.Name()+" on "+other+" and "+id)
 		}
 	}
-	target.deadline = max(target.deadline, order.Deadline)
+	f.extendLease(target, order.Deadline)
 	target.running[order.Task] = &fakeRun{
 		run:     order.Run,
 		started: time.Now(),
@@ -220,6 +233,14 @@
 	return nil
 }
 
+// extendLease extends the target's lease up to the deadline, as far as it grants one.
+func (f *fakeFleet) extendLease(target *fakeTarget, deadline Clock) {
+	if f.maxLease > 0 {
+		deadline = min(deadline, target.clock()+Clock(f.maxLease))
+	}
+	target.deadline = max(target.deadline, deadline)
+}
+
 func (f *fakeFleet) Stop(ctx context.Context, t *graph.Target, order Stop) (Clock, error) {
 	f.mu.Lock()
 	f.stopsInFlight++
@@ -251,7 +272,12 @@
 			f.mu.Unlock()
 			return RunList{}, err
 		}
-		target.deadline = max(target.deadline, renewal.Deadline)
+		f.extendLease(target, renewal.Deadline)
+		if target.answersLost {
+			f.mu.Unlock()
+			<-ctx.Done()
+			return RunList{}, ErrNoAnswer
+		}
 		for len(target.ended) > 0 && target.ended[0].Seq <= renewal.Acked {
 			target.ended = target.ended[1:]
 		}
@@ -466,7 +492,10 @@
 	sendHeartbeat := func() {
 		var clock Clock
 		silent := false
-		s.fleet.withLock(func() { clock, silent = target.clock(), target.silent || target.down })
+		s.fleet.withLock(func() {
+			clock, silent = target.clock(), target.silent || target.down
+			silent = silent || s.fleet.targets[announcement.ID.ID].answersLost
+		})
 		if silent {
 			return
 		}
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -28,6 +28,7 @@
 	crashes       prometheus.Counter
 	jobsGivenUp   prometheus.Counter
 	adoptedRuns   prometheus.Counter
+	outlivingRuns prometheus.Counter
 	waiting       *prometheus.GaugeVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
@@ -86,6 +87,8 @@
 		crashes:      counter("jasmineward_targets_crashed_total", "Targets that crashed under tasks, as seen by this leader."),
 		jobsGivenUp:  counter("jasmineward_jobs_given_up_total", "Jobs that this leader gave up because targets crash under a task."),
 		adoptedRuns:  counter("jasmineward_runs_adopted_total", "Runs that may have outlived a replaced lifetime of their target."),
+		outlivingRuns: counter("jasmineward_runs_outliving_total",
+			"Runs kept beyond the lease of a silent target, as a later lifetime may hold them."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -107,7 +110,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -154,7 +154,8 @@
 		if !d.claimSend(key) {
 			break
 		}
-		err := d.callStart(Start{
+		least := d.leastClock()
+		clock, err := d.callStart(Start{
 			Task:       key.task,
 			Run:        key.run,
 			Payload:    assignment.Payload,
@@ -164,7 +165,7 @@
 			Token:      d.leader.token(),
 		}, sent)
 		if err == nil {
-			d.recordTaken(key)
+			d.recordTaken(key, clock, least)
 			return runStarted
 		}
 		arrived = arrived || mayHaveArrived(err)
@@ -180,11 +181,24 @@
 	return d.unsentState(key)
 }
 
-// recordTaken records that the target has answered the start of the run.
-func (d *driver) recordTaken(key runKey) {
+// leastClock returns a lower bound of the target's clock, or zero while none is known.
+func (d *driver) leastClock() Clock {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.runInfo(key).takenAt = time.Now()
+	return d.clockLowerBound(time.Now())
+}
+
+// recordTaken records that the target has answered the start of the run, and what its clock
+// read then. The clock of a later incarnation began anew, so that it is behind the lower
+// bound of this one's clock when the start was sent.
+func (d *driver) recordTaken(key runKey, clock, least Clock) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.runInfo(key)
+	info.takenAt = time.Now()
+	if !info.startLost && least > 0 && clock >= least {
+		info.confined = true
+	}
 }
 
 // recordBroken records that the connection broke under the start of the run. It would have
@@ -237,7 +251,7 @@
 // current latency of answers: repeating a start is safe, because a run starts at
 // most once. A first attempt without an answer does not count as a failure of the
 // target, since one lost message says little about it.
-func (d *driver) callStart(order Start, isRetry bool) error {
+func (d *driver) callStart(order Start, isRetry bool) (Clock, error) {
 	wait := d.leader.scheduler.timing.CallTimeout
 	if !isRetry {
 		wait = min(wait, d.leader.startLatency.Timeout()+relayTimeoutMargin)
@@ -245,6 +259,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, wait)
 	defer cancel()
 	sent := time.Now()
+	d.recordStartSent(keyOf(order.Task, order.Run), wait)
 	clock, err := d.leader.targets.Start(ctx, &d.target, order)
 	d.leader.scheduler.metrics.orders.WithLabelValues(string(outcomeOf(err))).Inc()
 	lost := errors.Is(err, ErrNoAnswer)
@@ -257,7 +272,7 @@
 	if isRetry || !lost {
 		d.recordAnswer(clock, err)
 	}
-	return err
+	return clock, err
 }
 
 // recordAnswer updates the target's clock from an answer, or counts a failure if
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -103,6 +103,9 @@
 	timeout := renewal.Wait + renewalTimeoutMargin
 	d.mu.Lock()
 	d.renewalSentAt, d.renewalTimeout = sent, timeout
+	if renewal.Deadline != 0 {
+		d.recordGrant(timeout)
+	}
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	list, err := d.leader.targets.RenewLease(ctx, &d.target, renewal)
@@ -252,7 +255,7 @@
 	if !leaseExpired || !heartbeatsStopped && d.leader.scheduler.ledger.RunCount(d.target.ID) == 0 {
 		return false
 	}
-	return d.leader.endIncarnations("lease over", down, d.target.ID) == nil
+	return d.endSilent(down)
 }
 
 // fence stops all orders of this leader, because a target has seen the token of a
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -27,6 +27,7 @@
 	}
 	info := d.runInfo(key)
 	info.startSent = true
+	info.confined = false
 	if info.sentAt.IsZero() {
 		info.sentAt = time.Now()
 	}
@@ -61,11 +62,14 @@
 }
 
 // canOutlive reports whether the run may be active in a later incarnation of the target.
-// It can't be if no start was sent, or if this incarnation listed the run and no other
-// start of it is left. The lock must be held.
+// It can't be if no start was sent, or if this incarnation listed the run or answered its
+// start, and no other start of it is left. The lock must be held.
 func (d *driver) canOutlive(key runKey) bool {
 	info := d.runInfo(key)
-	if info.startLost {
+	switch {
+	case info.confined:
+		return false
+	case info.startLost:
 		return true
 	}
 	return info.startSent && info.listedAt.IsZero()
@@ -196,11 +200,19 @@
 // splitRuns retires the driver of a replaced incarnation, and returns the ends of its
 // runs: those that are over with the incarnation, and those that may outlive it.
 func (d *driver) splitRuns(assignments []graph.Assignment) (over, outliving []graph.RunEnd) {
-	ends := d.leader.endsOf(d.target.ID, assignments)
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.retired = true
 	d.updateUsableUntil()
+	d.mu.Unlock()
+	return d.partitionRuns(assignments)
+}
+
+// partitionRuns returns the ends of the runs that are over with the incarnation, and of
+// those that may outlive it.
+func (d *driver) partitionRuns(assignments []graph.Assignment) (over, outliving []graph.RunEnd) {
+	ends := d.leader.endsOf(d.target.ID, assignments)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, end := range ends {
 		if d.canOutlive(keyOf(end.Task, end.Run)) {
 			outliving = append(outliving, end)
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -77,6 +77,11 @@
 	// startLost is true once a start was sent of which it is not known that this
 	// incarnation of the target carried it out or never will.
 	startLost bool
+	// startArrivesBy is when no start of the run can be on its way any more.
+	startArrivesBy time.Time
+	// confined is true once no later incarnation of the target can have the run, as this
+	// one answered after all starts of the run had arrived or were lost.
+	confined bool
 	// percent is the last acknowledged pace or unknownPercent, and pacing is true
 	// while a new one is being sent.
 	percent  int
@@ -161,6 +166,7 @@
 	d.mu.Lock()
 	info := d.runInfo(key)
 	unlistedAt := info.updateListed(listed)
+	info.confine(sent)
 	state, since := info.state, sent.Sub(info.changedAt)
 	wanted := assignment.Desired && !d.left
 	d.mu.Unlock()
@@ -204,6 +210,16 @@
 	return r.unlistedAt
 }
 
+// confine records that the incarnation has answered a request that was sent at the given
+// time. No later one can take a start that had arrived or was lost by then.
+func (r *runInfo) confine(sent time.Time) {
+	if r.state == runSending || !sent.After(r.startArrivesBy) {
+		return
+	}
+	r.confined = true
+	r.startLost = false
+}
+
 // runInfo returns the state of the run, and creates it if there is none. The lock
 // must be held.
 func (d *driver) runInfo(key runKey) *runInfo {
@@ -219,12 +235,14 @@
 	if d.inherited[key] {
 		info.state = runUnknown
 		info.startSent = true
+		info.startArrivesBy = d.grantsArriveBy
 		info.percent = unknownPercent
 	}
 	if d.adopted[key] {
 		info.state = runUncertain
 		info.startSent = true
 		info.startLost = true
+		info.startArrivesBy = d.grantsArriveBy
 		info.percent = unknownPercent
 	}
 	d.runs[key] = info
