Drop orders that the leader has given up, in relays and in its own calls

Cause: a relay's limit for an order began when the relay read it. The token, the deadline and the highest run that ended make a late order harmless, but only to the process that knows them.

Change: an order carries a time by its relay's clock, which the relay's answers to checks tell; the clock counts suspensions, and a time by another process's clock is over. The last look at it comes when the body is written, in the leader's own calls as well. All orders ask whether this instance may lead at one place; paces did not. Instances of the last release neither give nor read the time, and agree otherwise.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,8 @@
 	transport *peer.RaftTransport
 	lock      *FolderLock
 	replica   atomic.Pointer[raft.Replica]
+	// process identifies this process to its peers.
+	process uint64
 	// helloAt holds the time of the latest Hello call from each address.
 	helloAt map[string]time.Time
 
@@ -99,6 +102,7 @@
 		dialer:       peer.NewDialer(traffic),
 		server:       server,
 		members:      NewMemberWatch(log),
+		process:      rand.Uint64() | 1, // Zero is none.
 		helloAt:      map[string]time.Time{},
 		failed:       make(chan struct{}),
 		ctx:          ctx,
--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/boot"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 )
 
@@ -48,6 +49,7 @@
 		Name:       h.cfg.Name,
 		Cell:       h.cellName(),
 		Membership: h.router.Membership(),
+		Clock:      h.Clock(),
 	}
 	replica := h.replica.Load()
 	if replica == nil {
@@ -131,15 +133,23 @@
 	return peers
 }
 
-// Ping sends a Hello call to the instance. If there is no reply within the
-// limit, Ping closes the connection, so that all pending calls on it fail at
-// once.
-func (h *Host) Ping(address string, limit time.Duration) error {
-	_, err := CallAddress[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, h.router.helloArgs(), limit)
+// Ping sends a Hello call to the instance and returns the reading of its clock, which is
+// zero for an instance of an earlier release. If there is no reply within the limit, Ping
+// closes the connection, so that all pending calls on it fail at once.
+func (h *Host) Ping(address string, limit time.Duration) (wire.ProcessClock, error) {
+	reply, err := CallAddress[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, h.router.helloArgs(), limit)
 	if err != nil {
 		h.router.Client(address).Reset()
 	}
-	return err
+	return reply.Value.Clock, err
+}
+
+// Clock returns a reading of this process's clock.
+func (h *Host) Clock() wire.ProcessClock {
+	return wire.ProcessClock{
+		Process: h.process,
+		Reading: boot.Now(),
+	}
 }
 
 // Join adds an instance with a replica to the group as a learner, or updates its
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/jasmineward/jasmineward/internal/peer"
+	"github.com/jasmineward/jasmineward/pkg/boot"
 	"github.com/jasmineward/jasmineward/pkg/raft"
 	"github.com/jasmineward/jasmineward/pkg/walog"
 )
@@ -188,16 +188,8 @@
 // bootClock returns a monotonic clock that also advances while the machine is
 // suspended.
 func bootClock() func() time.Duration {
-	started := bootTime()
-	return func() time.Duration { return bootTime() - started }
-}
-
-func bootTime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(ts.Nano())
+	started := boot.Now()
+	return func() time.Duration { return boot.Now() - started }
 }
 
 // watchReplica closes h.failed if the replica stops because of an error, after
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -119,10 +119,11 @@
 		cancel:            cancel,
 	}
 	l.advice = newAdviceClient(l)
-	l.relays = newRelays(s.host, l.log)
+	l.relays = newRelays(s.host, l.log, s.timing.ClockDrift)
 	l.targets = &relayedTargets{
 		direct:  s.targets,
 		relays:  l.relays,
+		maySend: l.canSendOrders,
 		metrics: s.metrics,
 	}
 	return l
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -227,7 +227,7 @@
 // mayHaveArrived reports whether the target's process may have received an order that
 // failed with the error.
 func mayHaveArrived(err error) bool {
-	return !errors.Is(err, ErrDown) && !errors.Is(err, ErrOtherIncarnation)
+	return !errors.Is(err, ErrDown) && !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrOtherIncarnation)
 }
 
 // unsentState returns the state of a run whose start this leader has not sent. An
@@ -286,7 +286,7 @@
 		d.updateUsableUntil()
 		return
 	}
-	if errors.Is(err, ErrNoAnswer) && d.ctx.Err() == nil {
+	if errors.Is(err, ErrNoAnswer) && !errors.Is(err, ErrNotSent) && d.ctx.Err() == nil {
 		d.countFailure(errors.Is(err, ErrDown), 0)
 		d.updateUsableUntil()
 		d.wakeUp()
--- a/internal/push/relay.go
+++ b/internal/push/relay.go
@@ -29,8 +29,9 @@
 // relays tracks the instances that forward the leader's orders to targets, so
 // that no instance needs a connection to each target. A target's relay is in the
 // target's failure domain, so an order crosses domains once, as it would without
-// a relay. Relays keep no state. An order that a relay sends late is as safe as
-// one that the network delayed, because of its fencing token and its deadline.
+// a relay. Relays keep no state. A relay drops an order that the leader has given up
+// meanwhile, by its own clock (see relayClocks): the fencing token and the deadline of an
+// order say nothing to a target that was started again.
 type relays struct {
 	host *group.Host
 	log  *logrus.Entry
@@ -43,14 +44,17 @@
 	// avoidUntil is until when a target is called directly because its relay
 	// could not reach it, by target id.
 	avoidUntil map[string]time.Time
+	// clocks has the clocks of the members that answer.
+	clocks *relayClocks
 }
 
-func newRelays(host *group.Host, log *logrus.Entry) *relays {
+func newRelays(host *group.Host, log *logrus.Entry, clockDrift float64) *relays {
 	return &relays{
 		host:       host,
 		log:        log,
 		answers:    map[string]bool{},
 		avoidUntil: map[string]time.Time{},
+		clocks:     newRelayClocks(clockDrift),
 	}
 }
 
@@ -119,7 +123,11 @@
 	var checks sync.WaitGroup
 	for _, peer := range peers {
 		checks.Go(func() {
-			r.recordCheck(peer.Address, r.host.Ping(peer.Address, timeout))
+			clock, err := r.host.Ping(peer.Address, timeout)
+			if err == nil {
+				r.clocks.record(peer.Address, clock)
+			}
+			r.recordCheck(peer.Address, err)
 		})
 	}
 	checks.Wait()
@@ -154,6 +162,7 @@
 		}
 	}
 	r.answers = answers
+	r.clocks.retain(answers)
 	r.liveByDomain = live
 }
 
--- a/internal/push/relay_test.go
+++ b/internal/push/relay_test.go
@@ -141,6 +141,15 @@
 
 	schedulers  []*Scheduler
 	targetCalls []*countingTargets
+	// links are the proxies through which peers reach the instances.
+	links []*frozenLink
+}
+
+// thaw ends the freezes of all links.
+func (cluster *relayCluster) thaw() {
+	for _, link := range cluster.links {
+		link.setFrozen(false)
+	}
 }
 
 func domainOf(i int) string {
@@ -160,6 +169,7 @@
 	for i, address := range addresses {
 		cluster.startInstance(t, i, address, addresses)
 	}
+	t.Cleanup(cluster.thaw)
 	cluster.scheduler = cluster.schedulers[cluster.leader()]
 	cluster.configure(false)
 	for i := range addresses {
@@ -174,10 +184,13 @@
 		fakeFleet: cluster.fleet,
 		calls:     map[string]int{},
 	}
+	listen := local.UnusedAddress()
+	cluster.links = append(cluster.links, newFrozenLink(t, address, listen))
 	scheduler := startScheduler(t, group.Config{
 		Name:              fmt.Sprint("n", i),
 		Domain:            domainOf(i),
 		Address:           address,
+		Listen:            listen,
 		Seeds:             seeds,
 		ElectionTimeout:   300 * time.Millisecond,
 		HeartbeatInterval: 50 * time.Millisecond,
@@ -196,6 +209,7 @@
 		Service: "s",
 		Address: name,
 		Domain:  domain,
+		Labels:  []string{domain},
 		Capacity: quota.Resources{
 			CPU:    4000,
 			Memory: 4000,
--- a/internal/push/relayed.go
+++ b/internal/push/relayed.go
@@ -8,6 +8,8 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
+	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/boot"
 )
 
 const (
@@ -21,8 +23,10 @@
 
 // relayedTargets implements Targets by calling targets through relays.
 type relayedTargets struct {
-	direct  Targets
-	relays  *relays
+	direct Targets
+	relays *relays
+	// maySend reports whether the leader may send orders.
+	maySend func() bool
 	metrics *metrics
 }
 
@@ -80,6 +84,12 @@
 func (p *relayedTargets) send(ctx context.Context, args *OrderArgs, t *graph.Target) (OrderReply, error) {
 	args.ID = t.ID
 	args.Address = t.Address
+	// The leader may be suspended between this check and the call, and lose its lead
+	// meanwhile. The call is not made any more then, as its deadline is set before.
+	ctx = boot.WithDeadline(ctx, boot.Now()+remainingTime(ctx))
+	if !p.maySend() {
+		return OrderReply{}, ErrNotSent
+	}
 	relay := p.relays.relayFor(t)
 	if relay == "" {
 		p.metrics.routes.WithLabelValues(routeDirect).Inc()
@@ -114,6 +124,7 @@
 func (p *relayedTargets) sendViaRelay(ctx context.Context, relay string, args *OrderArgs) (OrderReply, error) {
 	limit := remainingTime(ctx)
 	args.Limit = limit - relayTimeoutMargin
+	args.SendBy = p.relays.clocks.after(relay, limit)
 	reply, err := group.CallAddress[OrderArgs, OrderReply](ctx, p.relays.host, relay, methodOrder, args, limit)
 	if err != nil {
 		return OrderReply{}, err
@@ -140,6 +151,9 @@
 	Address string
 	// Limit is the timeout of the call to the target.
 	Limit time.Duration
+	// SendBy is the reading of the relay's clock after which the order is not sent, or
+	// zero if the leader does not know its clock.
+	SendBy wire.ProcessClock
 	// Exactly one of the following is set.
 	Start *Start
 	Stop  *Stop
@@ -188,6 +202,19 @@
 	return errors.Wrapf(err, "relay %s: %s", relay, r.Detail)
 }
 
+// kind returns the name of the order for log messages.
+func (a *OrderArgs) kind() string {
+	switch {
+	case a.Start != nil:
+		return "start"
+	case a.Stop != nil:
+		return "stop"
+	case a.Pace != nil:
+		return "pace"
+	}
+	return "renewal"
+}
+
 // dispatchOrder calls the method of Targets that matches the order.
 func dispatchOrder(ctx context.Context, targets Targets, args *OrderArgs) (OrderReply, error) {
 	t := &graph.Target{
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -55,7 +55,7 @@
 // carried out, or may still be, by whichever incarnation of the target.
 func mayBeCarriedOut(err error) bool {
 	switch {
-	case errors.Is(err, ErrDown), errors.Is(err, ErrOtherTarget):
+	case errors.Is(err, ErrDown), errors.Is(err, ErrNotSent), errors.Is(err, ErrOtherTarget):
 		return false
 	}
 	return errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrOtherIncarnation)
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/wire"
+	"github.com/jasmineward/jasmineward/pkg/boot"
 )
 
 const (
@@ -152,10 +155,20 @@
 	return nil
 }
 
-// Order sends an order to a target on behalf of the leader.
+// Order sends an order to a target on behalf of the leader, unless the leader has given it
+// up.
 func (c *rpcService) Order(args *OrderArgs, reply *wire.Reply[OrderReply]) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
 	defer cancel()
+	now := c.scheduler.host.Clock()
+	if isOverdue(args.SendBy, now) {
+		c.scheduler.dropOverdue(args, now)
+		reply.Value.setErr(errors.Wrap(ErrNoAnswer, "reached the relay too late"))
+		return nil
+	}
+	if args.SendBy.Process != 0 {
+		ctx = boot.WithDeadline(ctx, args.SendBy.Reading)
+	}
 	value, err := dispatchOrder(ctx, c.scheduler.targets, args)
 	value.setErr(err)
 	reply.Value = value
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -22,6 +22,9 @@
 	// ErrDown is an ErrNoAnswer that tells why: no process listens at the target's
 	// address.
 	ErrDown = errors.Wrap(ErrNoAnswer, "target's process is down")
+	// ErrNotSent is an ErrNoAnswer of an order that was not sent, because another
+	// instance may lead.
+	ErrNotSent = errors.Wrap(ErrNoAnswer, "order was not sent")
 	// ErrFenced means that the target has seen a higher fencing token.
 	ErrFenced = errors.New("fencing token is too old")
 	// ErrOtherIncarnation means that another incarnation of a target has the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,17 @@
 	Leader     string          `cbor:"4,keyasint"`
 	LeaderName string          `cbor:"5,keyasint"`
 	Membership raft.Membership `cbor:"6,keyasint"`
+	// Clock is a reading of the instance's clock. Earlier releases give none.
+	Clock ProcessClock `cbor:"7,keyasint,omitzero"`
+}
+
+// ProcessClock is a reading of the clock of one process.
+type ProcessClock struct {
+	_ struct{} `cbor:",toarray"`
+	// Process tells the process from others at its address. Zero is none.
+	Process uint64
+	// Reading is the time since its machine was started, with suspensions.
+	Reading time.Duration
 }
 
 // JoinArgs requests to be added to the membership as a learner.
