Start tasks that last again after they ended done

Cause: what an end means was decided outcome by outcome. The ledger asked whether the step lasts at failed, not at done.

Runs that end within a second delay the next start, up to 2 s.

--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -396,6 +396,19 @@
 	return l.liveJobs[id] != nil
 }
 
+// IsLongRunning reports whether the task belongs to a live job and a step whose tasks run
+// until the job is cancelled.
+func (l *Ledger) IsLongRunning(ref TaskRef) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	job := l.liveJobs[ref.Job]
+	if job == nil {
+		return false
+	}
+	step := job.StepOf(ref)
+	return step != nil && step.LongRunning
+}
+
 // IsLongRunningGang reports whether the task belongs to a gang of a live job whose tasks
 // last.
 func (l *Ledger) IsLongRunningGang(ref TaskRef) bool {
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -178,11 +178,15 @@
 	}
 }
 
-// needsPlacement reports whether a task is waiting and has no pending
-// placement.
+// needsPlacement reports whether a task is waiting, has no pending placement and is not
+// delayed.
 func (p *planner) needsPlacement(step *pendingStep, index int) bool {
-	_, pending := p.input.Pending[step.key.TaskRef(index)]
-	return !pending && step.tasks[index].State == graph.TaskWaiting
+	ref := step.key.TaskRef(index)
+	_, pending := p.input.Pending[ref]
+	if pending || step.tasks[index].State != graph.TaskWaiting {
+		return false
+	}
+	return !step.spec.LongRunning || p.input.Delayed == nil || !p.input.Delayed(ref)
 }
 
 // waitingTasks returns the number of tasks of the step that need a placement.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -82,6 +82,8 @@
 	// Pending contains the placements that are proposed but not yet committed
 	// to the log.
 	Pending map[graph.TaskRef]graph.TargetID
+	// Delayed reports whether the long-running task is not to be placed yet. Nil delays none.
+	Delayed func(graph.TaskRef) bool
 	// Speed returns the relative speed of the target; 1 is the default.
 	Speed func(graph.TargetID) float64
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -25,6 +25,8 @@
 	expectedEnds map[graph.TaskRef]time.Time
 	// usable reports whether a target is usable. All are if it is nil.
 	usable func(graph.TargetID) bool
+	// delayed is a task that is not to be placed yet.
+	delayed graph.TaskRef
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -109,6 +111,8 @@
 			},
 			Usable: func(id graph.TargetID) bool { return f.usable == nil || f.usable(id) },
 			Speed:  func(graph.TargetID) float64 { return 1 },
+
+			Delayed: func(ref graph.TaskRef) bool { return ref == f.delayed },
 		})
 	})
 	f.holds = d.Holds
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -69,6 +69,7 @@
 			Holds:           l.holds,
 			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
 			Pending:         pending,
+			Delayed:         func(task graph.TaskRef) bool { return l.restarts.isDelayed(task, now) },
 			Speed:           l.rater.Speed,
 		})
 	})
--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -1,12 +1,14 @@
 package push
 
 import (
+	"context"
 	"slices"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
 // commitListedEnds commits those of the listed ends that are not yet committed.
@@ -42,7 +44,8 @@
 
 // commitEnds commits the ends of runs.
 func (d *driver) commitEnds(ends []graph.RunEnd) error {
-	result, fault := d.leader.propose(d.ctx, graph.Command{Events: &graph.Events{Ends: d.leader.withoutLimit(ends)}})
+	d.recordRestarts(ends)
+	result, fault := d.leader.proposeEnds(d.ctx, ends)
 	if fault != nil {
 		d.log.WithField("fault", fault.Error()).Warn("target: ends not committed")
 		return fault
@@ -56,16 +59,31 @@
 	return nil
 }
 
-// withoutLimit returns the ends with the failed runs of gangs that last as broken ones.
-// There is no limit of these runs, but replicas would count them as attempts.
-func (l *leader) withoutLimit(ends []graph.RunEnd) []graph.RunEnd {
+// proposeEnds commits the ends of runs, each with the outcome that its step gives it. All
+// ends of runs that are committed by themselves go this way.
+func (l *leader) proposeEnds(ctx context.Context, ends []graph.RunEnd) (graph.Result, *wire.Fault) {
 	ends = slices.Clone(ends)
 	for i := range ends {
-		if ends[i].Outcome == graph.OutcomeFailed && l.scheduler.ledger.IsLongRunningGang(ends[i].Task) {
-			ends[i].Outcome = graph.OutcomeGangBroken
-		}
+		ends[i].Outcome = l.committedOutcome(ends[i])
+	}
+	return l.propose(ctx, graph.Command{Events: &graph.Events{Ends: ends}})
+}
+
+// committedOutcome returns the outcome that is committed for the end of a run. A
+// long-running task is started again however its run ends, while replicas of all releases
+// take done for the end of the task, and count each failed run of a gang as an attempt.
+func (l *leader) committedOutcome(end graph.RunEnd) graph.RunOutcome {
+	ledger := l.scheduler.ledger
+	if end.Outcome != graph.OutcomeDone && end.Outcome != graph.OutcomeFailed || !ledger.IsLongRunning(end.Task) {
+		return end.Outcome
+	}
+	switch {
+	case ledger.IsLongRunningGang(end.Task):
+		return graph.OutcomeGangBroken
+	case end.Outcome == graph.OutcomeDone:
+		return graph.OutcomeStopped
 	}
-	return ends
+	return end.Outcome
 }
 
 // logEnds logs one line per job and outcome, since the ends in one listing
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -46,6 +46,8 @@
 	rater   *rating.Rater[plan.StepKey, graph.TargetID]
 	moves   *moves
 	waitLog *waitLog
+	// restarts delays the starts of long-running tasks that end at once.
+	restarts *restarts
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
 	holds map[plan.StepKey]*plan.Hold
@@ -98,6 +100,7 @@
 		wake:              make(chan struct{}, 1),
 		rater:             rating.NewRater[plan.StepKey, graph.TargetID](),
 		moves:             newMoves(),
+		restarts:          newRestarts(),
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
 
@@ -218,6 +221,7 @@
 		l.advice.removeEndedJobs()
 		l.removeEndedAdmissions()
 		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
+		l.restarts.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.scheduler.ledger.IsLive(step.Job) })
 		before := graph.Millis(time.Now().Add(-l.scheduler.timing.JobRetention).UnixMilli())
 		if l.scheduler.ledger.CountEnded(before) < minPrunedJobs {
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -84,7 +84,7 @@
 func (d *driver) recordEnd(e graph.RunEnd) {
 	step := plan.StepKeyOf(e.Task)
 	d.leader.scheduler.metrics.runsEnded.WithLabelValues(e.Outcome.String()).Inc()
-	switch e.Outcome {
+	switch d.leader.committedOutcome(e) {
 	case graph.OutcomeDone:
 		d.leader.rater.Done(step, e.Task.Index, d.target.ID, time.Now())
 	case graph.OutcomeFailed:
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -189,7 +189,7 @@
 	if len(over) == 0 {
 		return nil
 	}
-	result, fault := l.propose(l.ctx, graph.Command{Events: &graph.Events{Ends: over}})
+	result, fault := l.proposeEnds(l.ctx, over)
 	if fault != nil {
 		return fault
 	}
