Use the end of a task that is done although its run was put back

Cause: the ledger drops the end of each run that it does not have on the target any more. When a target was cut off for longer than its lease, what it had done meanwhile was acknowledged and forgotten, and the task waited to run again.

Change: where the task waits, its next run is placed on that target without a start and ended as done; the target gets no work before. Where that is refused, for a gang, and where the next run is active elsewhere, the leader keeps in mind that the task is done: the next run is ended in place of being started, an active one is stopped. The commands are those of the last release. A late failed end is not counted, as an earlier leader may have.

--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -30,7 +30,14 @@
 	if len(ends) == 0 {
 		return nil
 	}
-	if err := d.commitEnds(ends); err != nil {
+	current, late := d.takeLate(ends)
+	if len(current) > 0 {
+		if err := d.commitEnds(current); err != nil {
+			return err
+		}
+	}
+	if err := d.settleLate(late); err != nil {
+		d.log.WithError(err).Warn("target: late ends not settled")
 		return err
 	}
 	d.mu.Lock()
@@ -69,11 +76,14 @@
 	return l.propose(ctx, graph.Command{Events: &graph.Events{Ends: ends}})
 }
 
-// committedOutcome returns the outcome that is committed for the end of a run. A
-// long-running task is started again however its run ends, while replicas of all releases
+// committedOutcome returns the outcome that is committed for the end of a run. However a
+// run ends, a task that is done by an earlier one is done. A long-running task is started again however its run ends, while replicas of all releases
 // take done for the end of the task, and count each failed run of a gang as an attempt.
 func (l *leader) committedOutcome(end graph.RunEnd) graph.RunOutcome {
 	ledger := l.scheduler.ledger
+	if l.doneTasks.has(end.Task) {
+		return graph.OutcomeDone
+	}
 	if end.Outcome != graph.OutcomeDone && end.Outcome != graph.OutcomeFailed || !ledger.IsLongRunning(end.Task) {
 		return end.Outcome
 	}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -48,6 +48,8 @@
 	waitLog *waitLog
 	// restarts delays the starts of long-running tasks that end at once.
 	restarts *restarts
+	// doneTasks has the tasks that are done, as late ends of their runs have told.
+	doneTasks *doneTasks
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
 	holds map[plan.StepKey]*plan.Hold
@@ -101,6 +103,7 @@
 		rater:             rating.NewRater[plan.StepKey, graph.TargetID](),
 		moves:             newMoves(),
 		restarts:          newRestarts(),
+		doneTasks:         newDoneTasks(),
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
 
@@ -222,6 +225,7 @@
 		l.removeEndedAdmissions()
 		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.restarts.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
+		l.doneTasks.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.scheduler.ledger.IsLive(step.Job) })
 		before := graph.Millis(time.Now().Add(-l.scheduler.timing.JobRetention).UnixMilli())
 		if l.scheduler.ledger.CountEnded(before) < minPrunedJobs {
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -30,6 +30,7 @@
 	adoptedRuns   prometheus.Counter
 	outlivingRuns prometheus.Counter
 	overdueOrders prometheus.Counter
+	lateEnds      prometheus.Counter
 	waiting       *prometheus.GaugeVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
@@ -92,6 +93,8 @@
 			"Runs kept beyond the lease of a silent target, as a later lifetime may hold them."),
 		overdueOrders: counter("jasmineward_orders_overdue_total",
 			"Orders that reached this relay after the leader had given them up."),
+		lateEnds: counter("jasmineward_late_ends_total",
+			"Ends done of runs whose tasks had been put back."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -113,7 +116,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -27,12 +27,17 @@
 	stopRetryInterval = 500 * time.Millisecond
 )
 
-// start sends the start of a run on a new goroutine.
+// start sends the start of a run on a new goroutine, or commits its end if the task is done.
 func (d *driver) start(task graph.TaskRef, run uint32, ticket string) {
 	key := keyOf(task, run)
 	if !d.claimStart(key) {
 		return
 	}
+	if d.leader.doneTasks.has(task) {
+		d.setRunState(key, runAbsent)
+		d.leader.goroutines.Go(func() { d.reportAbsent(key) })
+		return
+	}
 	d.wakeUp()
 	sendBy := time.Now().Add(maxStartDelay)
 	d.leader.goroutines.Go(func() {
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -113,11 +113,40 @@
 	if err != nil {
 		return err
 	}
+	d.recordListing(list, sent)
+	// A target that was cut off gets no work before its late ends are settled: they take
+	// its room for a moment.
+	err = d.commitListedEnds(list.Ended)
+	d.recordAnswered(renewal.Acked)
+	if err != nil {
+		return nil
+	}
+	assignments := d.ledgerAssignments()
+	if len(list.Ended) < maxListedEnds {
+		d.reconcile(sent, assignments, list)
+	}
+	d.removeOlder()
+	d.trackProgress(assignments, list)
+	d.clearSuspects(assignments)
+	d.adjustPace(assignments, list)
+	return nil
+}
+
+// recordListing records the target's clock in a listing that was asked for at the given time.
+func (d *driver) recordListing(list RunList, sent time.Time) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.updateClock(list.Clock)
 	if list.Clock > 0 {
 		d.answerClock, d.answerSentAt = list.Clock, sent
 	}
+	d.answeredAt = time.Now()
+}
+
+// recordAnswered records that the target has answered a renewal which acknowledged ends up
+// to the given number. It may get work again.
+func (d *driver) recordAnswered(acked uint64) {
+	d.mu.Lock()
 	first := !d.contacted
 	d.contacted = true
 	if d.failures > 0 {
@@ -128,9 +157,9 @@
 	withdraw := d.weighed || first
 	d.weighed = false
 	d.failures = 0
-	d.answeredAt = time.Now()
 	d.down = false
-	d.ackedSeq = max(d.ackedSeq, renewal.Acked)
+	d.outliving = 0
+	d.ackedSeq = max(d.ackedSeq, acked)
 	d.updateUsableUntil()
 	d.mu.Unlock()
 	if first {
@@ -139,18 +168,6 @@
 	if withdraw {
 		d.withdrawCrash()
 	}
-	if err := d.commitListedEnds(list.Ended); err != nil {
-		return nil
-	}
-	assignments := d.ledgerAssignments()
-	if len(list.Ended) < maxListedEnds {
-		d.reconcile(sent, assignments, list)
-	}
-	d.removeOlder()
-	d.trackProgress(assignments, list)
-	d.clearSuspects(assignments)
-	d.adjustPace(assignments, list)
-	return nil
 }
 
 // newRenewal returns the next renewal to send.
