Take no refused start of an inherited run for a run that never starts

What callers saw: the users' record of two runs at once around hand-overs of the lead, the first of which ended stopped. Whether this is its cause is not known: it was not reproduced.

Cause: an earlier leader may have had a run stopped that the ledger still wants. While the run ends, the next leader sends its start again, the target refuses that, as the run was stopped, and the refusal was taken to mean that the run never started. The task was placed elsewhere beside the run that was ending.

Change: such a run is stopped, and over when its end is listed or when it stays in neither list for longer than a stop takes.

--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -208,7 +208,8 @@
 // acceptStart starts the run, or refuses it, as a target does.
 func (f *fakeFleet) acceptStart(target *fakeTarget, id string, order Start) error {
 	f.applyDueEnds(target)
-	if r := target.running[order.Task]; r != nil && r.run == order.Run {
+	// A run that is being stopped is not started again.
+	if r := target.running[order.Task]; r != nil && r.run == order.Run && r.stopsAt.IsZero() {
 		return nil
 	}
 	if order.Run <= target.highestRun[order.Task] || order.Deadline < target.clock() ||
--- /dev/null
+++ b/internal/push/handover_test.go
@@ -0,0 +1,40 @@
+package push
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
+)
+
+// An earlier leader has sent a stop of a run, and the run is in neither list of its target
+// while it ends. The next leader sends the start of the run again, as nothing tells it of the
+// stop. The target refuses it, since the run was stopped. That was taken for a run that never
+// starts, and the task was started elsewhere while the first run ended.
+func TestRefusedStartOfInheritedRunIsNotAbsent(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.withLock(func() {
+		s.fleet.runTime = time.Hour
+		s.fleet.stopDelay = testTiming().StopSettleTime * 3 / 4
+	})
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	s.startDefaultTarget("w1", 1)
+	l := s.scheduler.currentLeader.Load()
+	target := l.driver(graph.TargetID{
+		ID:          "w0",
+		Incarnation: 1,
+	}).target
+	s.scheduler.LostLeadership()
+	_, err := s.fleet.Stop(s.ctx(), &target, Stop{
+		Task:  graph.TaskRef{Job: "a"},
+		Run:   1,
+		Token: l.token(),
+	})
+	s.c.Assert(err, qt.IsNil)
+	s.scheduler.BecameLeader(l.term + 1)
+	s.eventually(waitTimeout, "task runs again", func() bool { return s.sentRuns("a") == 2 })
+	s.assertNoDoubleRuns()
+}
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -138,6 +138,7 @@
 // by the given time, the start is not sent.
 func (d *driver) sendStart(key runKey, ticket string, sendBy time.Time) runState {
 	var deadline Clock
+	inherited := d.isInherited(key)
 	sent, arrived := false, false
 	for range startAttempts {
 		assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
@@ -175,7 +176,7 @@
 		}
 		arrived = arrived || mayHaveArrived(err)
 		d.recordUntaken(key, arrived, err)
-		if state, final := d.stateAfter(err, sent); final {
+		if state, final := d.stateAfter(err, sent || inherited); final {
 			return state
 		}
 		sent = true
@@ -214,8 +215,16 @@
 	d.runInfo(key).startBroken = true
 }
 
+// isInherited reports whether an earlier leader has placed the run.
+func (d *driver) isInherited(key runKey) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inherited[key]
+}
+
 // stateAfter returns the state of a run whose start failed with the error, and whether
-// the start is not to be sent again. Sent says whether it had been sent before.
+// the start is not to be sent again. Sent says whether it may have been sent before. Then a
+// refusal does not tell that the run never started: it may be ending after a stop.
 func (d *driver) stateAfter(err error, sent bool) (state runState, final bool) {
 	switch {
 	case errors.Is(err, ErrFenced):
