Start no inherited run on a target that leaves

Cause: that a target leaves was asked for by the planner and by the leader that the target told, but not when the next leader starts the runs that it finds and that are not listed.

Change: those are stopped, and placed elsewhere once they are over.

TestInheritedRunIsNotStartedOnLeavingTarget fails before (a start of run 1) and passes.

--- a/internal/push/handover_test.go
+++ b/internal/push/handover_test.go
@@ -38,3 +38,30 @@
 	s.eventually(waitTimeout, "task runs again", func() bool { return s.sentRuns("a") == 2 })
 	s.assertNoDoubleRuns()
 }
+
+// A target that leaves must get no start. The next leader sent those of the runs that the
+// earlier one had stopped, as they left, or had not sent yet.
+func TestInheritedRunIsNotStartedOnLeavingTarget(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.fleet.withLock(func() { s.fleet.runTime = time.Hour })
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "task runs", func() bool { return s.runCount("w0") == 1 })
+	leaving := defaultAnnouncement("w0", 1)
+	leaving.Leaving = true
+	fault := s.scheduler.ForwardHeartbeat(s.ctx(), &Heartbeat{Announce: leaving})
+	s.c.Assert(fault == nil, qt.IsTrue)
+	l := s.scheduler.currentLeader.Load()
+	s.scheduler.LostLeadership()
+	s.fleet.withLock(func() {
+		clear(s.fleet.targets["w0"].running)
+		s.fleet.starts = nil
+	})
+	s.scheduler.BecameLeader(l.term + 1)
+	s.startDefaultTarget("w1", 1)
+	s.eventually(waitTimeout, "task runs elsewhere", func() bool { return s.runCount("w1") == 1 })
+	s.fleet.withLock(func() {
+		for _, start := range s.fleet.starts {
+			s.c.Check(start.Run, qt.Equals, uint32(2))
+		}
+	})
+}
--- a/internal/push/leave.go
+++ b/internal/push/leave.go
@@ -63,6 +63,13 @@
 	return fault
 }
 
+// leaves reports whether the target has announced that it leaves. An earlier leader may have
+// had its runs stopped since.
+func (d *driver) leaves() bool {
+	target, known := d.leader.scheduler.ledger.Target(d.target.ID)
+	return known && target.Leaving
+}
+
 // leave stops the runs of a target that leaves. They end with it in any case, but a
 // target that gets no answer would go on with them for a while.
 func (d *driver) leave() {
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -170,11 +170,12 @@
 	state, since := info.state, sent.Sub(info.changedAt)
 	wanted := assignment.Desired && !d.left
 	d.mu.Unlock()
+	startable := wanted && (state != runUnknown || !d.leaves())
 	switch {
 	case listed && !wanted:
 		d.stop(key)
 	case listed, state == runSending, state == runPlaced && since < startSendGrace:
-	case state == runUnknown && wanted, state == runPlaced && wanted:
+	case state == runUnknown && startable, state == runPlaced && startable:
 		d.start(key.task, key.run, "")
 	case state == runUnknown, state == runUncertain, state == runPlaced:
 		d.stop(key)
