--- a/internal/push/leave_test.go
+++ b/internal/push/leave_test.go
@@ -78,3 +78,24 @@
 	s.c.Check(known && target.Leaving, qt.IsTrue)
 	s.c.Check(s.scheduler.ledger.RunCount(id), qt.Equals, 1)
 }
+
+// A target whose message that it leaves is not answered sends it again, also after it was
+// forgotten. That must end nothing of another target, and not bring it back.
+func TestLeaveAgainChangesNothing(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	id := s.startLeaving()
+	for range 2 {
+		s.c.Assert(s.scheduler.ForwardLeave(s.ctx(), id) == nil, qt.IsTrue)
+	}
+	s.eventually(waitTimeout, "task runs elsewhere", func() bool { return s.runCount("w1") == 1 })
+	s.eventually(waitTimeout, "target is forgotten", func() bool {
+		_, known := s.scheduler.ledger.Target(id)
+		return !known
+	})
+	s.c.Assert(s.scheduler.ForwardLeave(s.ctx(), id) == nil, qt.IsTrue)
+	s.announce("w0", 1)
+	_, known := s.scheduler.ledger.Target(id)
+	s.c.Check(known, qt.IsFalse)
+	s.c.Check(s.runCount("w1"), qt.Equals, 1)
+	s.assertNoDoubleRuns()
+}
