Read the ledger's incarnations before a leader is made known

Cause: a new leader noted the newest incarnations without its lock after it was made known. A heartbeat in that moment reads the same map: the process may end, or take a heartbeat of an ended incarnation for a newer one.

--- a/internal/push/handover_test.go
+++ b/internal/push/handover_test.go
@@ -65,3 +65,24 @@
 		}
 	})
 }
+
+// A heartbeat may arrive as soon as the next leader is known. The leader noted the incarnations
+// of the ledger only then, without a lock: such a heartbeat could be taken for one of a newer
+// incarnation, or end the process, as the two met at one map.
+func TestNewLeaderKnowsIncarnationsAtOnce(t *testing.T) {
+	s := newFixture(t, false, "w0")
+	s.startDefaultTarget("w0", 2)
+	s.eventually(waitTimeout, "target is announced", func() bool {
+		_, known := s.scheduler.ledger.Target(graph.TargetID{
+			ID:          "w0",
+			Incarnation: 2,
+		})
+		return known
+	})
+	l := newLeader(s.scheduler, s.scheduler.currentLeader.Load().term+1)
+	s.c.Check(l.currentIncarnation("w0"), qt.Equals, int64(2))
+	s.c.Check(l.incarnationEnded(graph.TargetID{
+		ID:          "w0",
+		Incarnation: 1,
+	}), qt.IsTrue)
+}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -124,6 +124,10 @@
 		ctx:               ctx,
 		cancel:            cancel,
 	}
+	// Heartbeats may arrive as soon as the leader is known.
+	for _, t := range s.ledger.Targets() {
+		l.newestIncarnation[t.ID.ID] = max(l.newestIncarnation[t.ID.ID], t.ID.Incarnation)
+	}
 	l.advice = newAdviceClient(l)
 	l.relays = newRelays(s.host, l.log, s.timing.ClockDrift)
 	l.targets = &relayedTargets{
@@ -139,9 +143,6 @@
 // ledger.
 func (l *leader) start() {
 	targets := l.scheduler.ledger.Targets()
-	for _, t := range targets {
-		l.newestIncarnation[t.ID.ID] = max(l.newestIncarnation[t.ID.ID], t.ID.Incarnation)
-	}
 	l.goroutines.Go(func() {
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
