--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/pkg/fairq"
 )
@@ -52,7 +51,7 @@
 		leader:  l,
 		answers: map[plan.StepKey]*plan.StepAdvice{},
 		callers: newCallers(func() []string {
-			return l.scheduler.host.LiveAddresses(instanceHeardWithin)
+			return l.scheduler.cell.LiveAddresses(instanceHeardWithin)
 		}),
 		unusedAnswers:       map[plan.StepKey]bool{},
 		waitingSince:        map[plan.StepKey]time.Time{},
@@ -172,7 +171,7 @@
 	ctx context.Context, request plan.AdviceRequest, address string, limit time.Duration,
 ) (Advice, error) {
 	step := request.Step.TaskRef(0)
-	if address == a.leader.scheduler.host.Address() {
+	if address == a.leader.scheduler.cell.Address() {
 		return a.leader.scheduler.advisor.Advise(ctx, step, request.Targets)
 	}
 	args := &AdviseArgs{
@@ -180,7 +179,7 @@
 		Targets: request.Targets,
 		Limit:   limit,
 	}
-	reply, err := group.CallAddress[AdviseArgs, Advice](ctx, a.leader.scheduler.host, address, methodAdvise, args, limit)
+	reply, err := a.leader.scheduler.cell.Advise(ctx, address, args, limit)
 	if err != nil {
 		return Advice{}, err
 	}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -129,7 +129,7 @@
 		l.newestIncarnation[t.ID.ID] = max(l.newestIncarnation[t.ID.ID], t.ID.Incarnation)
 	}
 	l.advice = newAdviceClient(l)
-	l.relays = newRelays(s.host, l.log, s.timing.ClockDrift)
+	l.relays = newRelays(s.cell, l.log, s.timing.ClockDrift)
 	l.targets = &relayedTargets{
 		direct:  s.targets,
 		relays:  l.relays,
@@ -154,7 +154,7 @@
 		}
 		l.relays.checkLoop(l.ctx)
 	})
-	l.goroutines.Go(func() { l.scheduler.host.AnnounceLeadership(announcedWithin) })
+	l.goroutines.Go(func() { l.scheduler.cell.AnnounceLeadership(announcedWithin) })
 	l.goroutines.Go(l.decisionLoop)
 	l.goroutines.Go(l.cleanupLoop)
 }
@@ -173,7 +173,7 @@
 // canSendOrders reports whether this instance is certain to be the only leader
 // now.
 func (l *leader) canSendOrders() bool {
-	return !l.fenced.Load() && l.scheduler.host.Replica().HoldsLease()
+	return !l.fenced.Load() && l.scheduler.cell.HoldsLease()
 }
 
 // wakeDecisionLoop requests a decision soon.
@@ -194,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	sent := time.Now()
-	value, err := l.scheduler.host.Replica().Propose(ctx, data)
+	value, err := l.scheduler.cell.Propose(ctx, data)
 	observeSince(l.scheduler.metrics.commit, sent)
 	switch {
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransfer):
--- a/internal/push/overdue.go
+++ b/internal/push/overdue.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/wire"
-	"github.com/jasmineward/jasmineward/pkg/boot"
 )
 
 // An order may lie in a socket of its relay, or in a relay that stands still, until long after
@@ -19,6 +18,8 @@
 // relayClocks has lower bounds of the clocks of relays.
 type relayClocks struct {
 	drift float64
+	// now reads the clock of this process.
+	now func() time.Duration
 
 	mu        sync.Mutex
 	byAddress map[string]relayClock
@@ -31,9 +32,10 @@
 	at      time.Duration
 }
 
-func newRelayClocks(drift float64) *relayClocks {
+func newRelayClocks(drift float64, now func() time.Duration) *relayClocks {
 	return &relayClocks{
 		drift:     drift,
+		now:       now,
 		byAddress: map[string]relayClock{},
 	}
 }
@@ -41,7 +43,7 @@
 // record records a reading that has just arrived, unless it is behind the lower bound that
 // is known.
 func (c *relayClocks) record(address string, reading wire.ProcessClock) {
-	now := boot.Now()
+	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.byAddress[address]
@@ -70,7 +72,7 @@
 	}
 	return wire.ProcessClock{
 		Process: known.reading.Process,
-		Reading: c.lowerBound(known, boot.Now()) + wait,
+		Reading: c.lowerBound(known, c.now()) + wait,
 	}
 }
 
--- a/internal/push/overdue_test.go
+++ b/internal/push/overdue_test.go
@@ -166,7 +166,7 @@
 func TestRelayClockIsNeverAhead(t *testing.T) {
 	c := qt.New(t)
 	const drift = 0.03
-	clocks := newRelayClocks(drift)
+	clocks := newRelayClocks(drift, boot.Now)
 	c.Check(clocks.after("a:1", time.Second), qt.Equals, wire.ProcessClock{})
 	reading := wire.ProcessClock{
 		Process: 7,
--- a/internal/push/relay.go
+++ b/internal/push/relay.go
@@ -33,7 +33,7 @@
 // meanwhile, by its own clock (see relayClocks): the fencing token and the deadline of an
 // order say nothing to a target that was started again.
 type relays struct {
-	host *group.Host
+	cell cell
 	log  *logrus.Entry
 
 	mu sync.Mutex
@@ -48,13 +48,13 @@
 	clocks *relayClocks
 }
 
-func newRelays(host *group.Host, log *logrus.Entry, clockDrift float64) *relays {
+func newRelays(cell cell, log *logrus.Entry, clockDrift float64) *relays {
 	return &relays{
-		host:       host,
+		cell:       cell,
 		log:        log,
 		answers:    map[string]bool{},
 		avoidUntil: map[string]time.Time{},
-		clocks:     newRelayClocks(clockDrift),
+		clocks:     newRelayClocks(clockDrift, func() time.Duration { return cell.Clock().Reading }),
 	}
 }
 
@@ -119,11 +119,11 @@
 
 // checkAll checks all members in parallel, with the given timeout.
 func (r *relays) checkAll(timeout time.Duration) {
-	peers := r.host.Peers()
+	peers := r.cell.Peers()
 	var checks sync.WaitGroup
 	for _, peer := range peers {
 		checks.Go(func() {
-			clock, err := r.host.Ping(peer.Address, timeout)
+			clock, err := r.cell.Ping(peer.Address, timeout)
 			if err == nil {
 				r.clocks.record(peer.Address, clock)
 			}
@@ -169,5 +169,5 @@
 // markFailed stops the use of a relay until it answers a check again.
 func (r *relays) markFailed(address string, err error) {
 	r.recordCheck(address, err)
-	r.updateLive(r.host.Peers())
+	r.updateLive(r.cell.Peers())
 }
--- a/internal/push/relayed.go
+++ b/internal/push/relayed.go
@@ -7,7 +7,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
-	"github.com/jasmineward/jasmineward/internal/group"
 	"github.com/jasmineward/jasmineward/internal/wire"
 	"github.com/jasmineward/jasmineward/pkg/boot"
 )
@@ -125,7 +124,7 @@
 	limit := remainingTime(ctx)
 	args.Limit = limit - relayTimeoutMargin
 	args.SendBy = p.relays.clocks.after(relay, limit)
-	reply, err := group.CallAddress[OrderArgs, OrderReply](ctx, p.relays.host, relay, methodOrder, args, limit)
+	reply, err := p.relays.cell.Order(ctx, relay, args, limit)
 	if err != nil {
 		return OrderReply{}, err
 	}
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -160,7 +160,7 @@
 func (c *rpcService) Order(args *OrderArgs, reply *wire.Reply[OrderReply]) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
 	defer cancel()
-	now := c.scheduler.host.Clock()
+	now := c.scheduler.cell.Clock()
 	if isOverdue(args.SendBy, now) {
 		c.scheduler.dropOverdue(args, now)
 		reply.Value.setErr(errors.Wrap(ErrNoAnswer, "reached the relay too late"))
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -17,7 +17,9 @@
 // state machine of the replicated log, and runs the leader while this instance
 // leads. It also routes calls from the rest of the process to the leader.
 type Scheduler struct {
-	host          *group.Host
+	host *group.Host
+	// cell is the part of the host that the leader and the relays use.
+	cell          cell
 	ledger        *graph.Ledger
 	targets       Targets
 	advisor       Advisor
@@ -35,24 +37,14 @@
 // NewScheduler returns a scheduler that calls targets and the advisor through
 // the given interfaces.
 func NewScheduler(cfg group.Config, timing Timing, targets Targets, advisor Advisor, log *logrus.Logger) (*Scheduler, error) {
-	s := &Scheduler{
-		ledger:  graph.NewLedger(),
-		targets: targets,
-		advisor: advisor,
-		timing:  timing,
-		log:     log,
-		metrics: newMetrics(),
-	}
-	s.metrics.addLedgerGauges(s.ledger)
-	s.AddGauge("jasmineward_targets_silent", "Targets that did not answer this leader's last call.", s.silentTargets)
-	s.AddGauge("jasmineward_configuration_age_seconds", "Time since the configuration came into force here.",
-		func() float64 { return ageSeconds(graph.Millis(s.configuredAt.Load()), time.Now()) })
+	s := newScheduler(timing, targets, advisor, log)
 	cfg.OnLogSync = func(took time.Duration) { s.metrics.logSync.Observe(took.Seconds()) }
 	host, err := group.NewHost(cfg, s, log)
 	if err != nil {
 		return nil, err
 	}
 	s.host = host
+	s.cell = hostedCell{host}
 	s.AddGauge("jasmineward_voters", "Voters of the group; zero on an instance that does not lead.",
 		func() float64 { all, _ := host.Voters(); return float64(all) })
 	s.AddGauge("jasmineward_voters_silent", "Voters that have not replied to this leader for a second.",
@@ -63,6 +55,23 @@
 	return s, nil
 }
 
+// newScheduler returns a scheduler that belongs to no cell yet.
+func newScheduler(timing Timing, targets Targets, advisor Advisor, log *logrus.Logger) *Scheduler {
+	s := &Scheduler{
+		ledger:  graph.NewLedger(),
+		targets: targets,
+		advisor: advisor,
+		timing:  timing,
+		log:     log,
+		metrics: newMetrics(),
+	}
+	s.metrics.addLedgerGauges(s.ledger)
+	s.AddGauge("jasmineward_targets_silent", "Targets that did not answer this leader's last call.", s.silentTargets)
+	s.AddGauge("jasmineward_configuration_age_seconds", "Time since the configuration came into force here.",
+		func() float64 { return ageSeconds(graph.Millis(s.configuredAt.Load()), time.Now()) })
+	return s
+}
+
 // Host returns the group's host.
 func (s *Scheduler) Host() *group.Host {
 	return s.host
@@ -152,7 +161,7 @@
 	if l == nil {
 		return nil, wire.NewFault(wire.CodeNotLeader, "")
 	}
-	if err := s.host.Replica().Read(ctx); err != nil {
+	if err := s.cell.Read(ctx); err != nil {
 		return nil, wire.NewFault(wire.CodeUnavailable, err.Error())
 	}
 	return l, nil
