Stop a gang that runs elsewhere when it is told that it is done

Cause: the late end of a gang was kept in mind, but its next run was left to end by itself, and starts of it that were not answered yet were repeated.

Change: its runs are stopped together, as those of a single task are.

TestLateDoneEndsGangThatRunsElsewhere fails before (not completed within 10 s) and passes with the change.

--- a/internal/push/late.go
+++ b/internal/push/late.go
@@ -154,9 +154,7 @@
 	for _, end := range late {
 		members := d.leader.scheduler.ledger.RunMembers(end.Task)
 		d.leader.doneTasks.add(members...)
-		if len(members) == 1 {
-			stop = append(stop, members...)
-		}
+		stop = append(stop, members...)
 		if _, waits := d.leader.scheduler.ledger.NextRun(end.Task); !waits {
 			d.logLate(end, graph.RefusedRunActive)
 		}
--- a/internal/push/late_test.go
+++ b/internal/push/late_test.go
@@ -81,6 +81,22 @@
 	s.eventually(waitTimeout, "run is stopped", func() bool { return s.runCount("w1") == 0 })
 }
 
+// The tasks of a gang that runs elsewhere are stopped together when one end tells that they are
+// done. Those whose starts were still being repeated were started.
+func TestLateDoneEndsGangThatRunsElsewhere(t *testing.T) {
+	s := newLateFixture(t, "w0")
+	gang := tasks(2)
+	gang.Gang = true
+	s.submit("a", gang)
+	s.cutOff("w0")
+	s.fleet.withLock(func() { s.fleet.runTime = time.Hour })
+	s.startDefaultTarget("w1", 1)
+	s.eventually(waitTimeout, "gang runs elsewhere", func() bool { return s.runCount("w1") == 2 })
+	s.reach("w0")
+	s.waitCompleted("a")
+	s.eventually(waitTimeout, "runs are stopped", func() bool { return s.runCount("w1") == 0 })
+}
+
 // A target that leaves may be given no work, not even for a moment, and a gang needs room for
 // all its tasks at once. Their next runs are ended in place of being started.
 func TestLateDoneIsKeptInMind(t *testing.T) {
