--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -77,8 +77,9 @@
 }
 
 // committedOutcome returns the outcome that is committed for the end of a run. However a
-// run ends, a task that is done by an earlier one is done. A long-running task is started again however its run ends, while replicas of all releases
-// take done for the end of the task, and count each failed run of a gang as an attempt.
+// run ends, a task that is done by an earlier one is done. A long-running task is started
+// again however its run ends, while replicas of all releases take done for the end of the
+// task, and count each failed run of a gang as an attempt.
 func (l *leader) committedOutcome(end graph.RunEnd) graph.RunOutcome {
 	ledger := l.scheduler.ledger
 	if l.doneTasks.has(end.Task) {
--- a/internal/push/silent_test.go
+++ b/internal/push/silent_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
 // newCutFixture returns a fixture with a target w0 that was started again behind a cut: it
@@ -42,3 +44,19 @@
 	s.c.Check(time.Since(started) >= timing.MaxLease, qt.IsTrue)
 	s.assertNoDoubleRuns()
 }
+
+// The clock in the answer to a start tells which process took it only if a later process can't
+// have run for as long. Two that start shortly one after the other have clocks that are closer
+// than the drift that is allowed for, and the later one was taken for the earlier one.
+func TestClockOfNextIncarnationIsNotTakenForOwn(t *testing.T) {
+	s := newFixture(t, false)
+	d := newDriver(s.scheduler.currentLeader.Load(), graph.Target{})
+	s.c.Check(d.isOwnClock(Clock(time.Hour)), qt.IsFalse)
+	first := time.Now().Add(-time.Minute)
+	d.recordListing(RunList{Clock: Clock(time.Second)}, first)
+	// The process has run for a minute, and for no longer than since its only answer.
+	s.c.Check(d.isOwnClock(Clock(time.Second+time.Minute)), qt.IsFalse)
+	d.recordListing(RunList{Clock: Clock(time.Minute)}, time.Now().Add(-time.Second))
+	s.c.Check(d.isOwnClock(Clock(time.Minute+time.Second)), qt.IsTrue)
+	s.c.Check(d.isOwnClock(Clock(time.Second)), qt.IsFalse)
+}
