--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -455,11 +455,7 @@
 func (l *Ledger) IsLongRunning(ref TaskRef) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	job := l.liveJobs[ref.Job]
-	if job == nil {
-		return false
-	}
-	step := job.StepOf(ref)
+	step := l.liveStep(ref)
 	return step != nil && step.LongRunning
 }
 
@@ -468,12 +464,17 @@
 func (l *Ledger) IsLongRunningGang(ref TaskRef) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	step := l.liveStep(ref)
+	return step != nil && step.Gang && step.LongRunning
+}
+
+// liveStep returns the step of a task of a live job, or nil. The lock must be held.
+func (l *Ledger) liveStep(ref TaskRef) *Step {
 	job := l.liveJobs[ref.Job]
 	if job == nil {
-		return false
+		return nil
 	}
-	step := job.StepOf(ref)
-	return step != nil && step.Gang && step.LongRunning
+	return job.StepOf(ref)
 }
 
 // RunCount returns the number of runs that may be active in the target's process, as
--- a/internal/push/late.go
+++ b/internal/push/late.go
@@ -1,9 +1,7 @@
 package push
 
 import (
-	"maps"
 	"slices"
-	"sync"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,39 +18,25 @@
 
 // doneTasks is the set of tasks that are done by runs which the ledger has put back.
 type doneTasks struct {
-	mu  sync.Mutex
-	set map[graph.TaskRef]bool
+	taskMap[bool]
 }
 
 func newDoneTasks() *doneTasks {
-	return &doneTasks{set: map[graph.TaskRef]bool{}}
+	return &doneTasks{taskMap: newTaskMap[bool]()}
 }
 
 func (t *doneTasks) add(tasks ...graph.TaskRef) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, task := range tasks {
-		t.set[task] = true
+		t.byTask[task] = true
 	}
 }
 
 func (t *doneTasks) has(task graph.TaskRef) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.set[task]
-}
-
-// forget deletes the tasks of jobs that have ended, as moves.forget does.
-func (t *doneTasks) forget(ended func(graph.JobID) bool) {
-	t.mu.Lock()
-	tasks := slices.Collect(maps.Keys(t.set))
-	t.mu.Unlock()
-	tasks = slices.DeleteFunc(tasks, func(task graph.TaskRef) bool { return !ended(task.Job) })
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, task := range tasks {
-		delete(t.set, task)
-	}
+	return t.byTask[task]
 }
 
 // takeLate separates the ends of runs that are done, and which the ledger does not have on
--- a/internal/push/model_fleet_test.go
+++ b/internal/push/model_fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/group"
 )
 
 const (
@@ -208,7 +209,7 @@
 	f.messages++
 	wait := time.Duration(f.random.Int64N(int64(modelTransit)))
 	f.mu.Unlock()
-	if !sleepUntilDone(ctx, wait) {
+	if !group.SleepContext(ctx, wait) {
 		return 0, ErrNoAnswer
 	}
 	f.mu.Lock()
@@ -403,7 +404,7 @@
 			list.Clock = clock
 			return list, nil
 		}
-		if !sleepUntilDone(ctx, 20*time.Millisecond) {
+		if !group.SleepContext(ctx, 20*time.Millisecond) {
 			return RunList{}, ErrNoAnswer
 		}
 	}
@@ -454,15 +455,3 @@
 func (f *modelFleet) Pace(context.Context, *graph.Target, Pace) (Clock, error) { return 0, nil }
 
 func (f *modelFleet) Release(*graph.Target) {}
-
-// sleepUntilDone waits for the time, and reports whether the context lasted as long.
-func sleepUntilDone(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/push/moves.go
+++ b/internal/push/moves.go
@@ -1,12 +1,6 @@
 package push
 
-import (
-	"maps"
-	"slices"
-	"sync"
-
-	"github.com/jasmineward/jasmineward/internal/graph"
-)
+import "github.com/jasmineward/jasmineward/internal/graph"
 
 // maxPatienceDoublings bounds how often a task's patience is doubled.
 const maxPatienceDoublings = 16
@@ -15,8 +9,7 @@
 // it does is presumed from other tasks or an estimate. A task that needs longer than these
 // seems to stand still on each target, and would never end if it were moved each time.
 type moves struct {
-	mu     sync.Mutex
-	byTask map[graph.TaskRef]taskMoves
+	taskMap[taskMoves]
 }
 
 // taskMoves has the count of a task's moves, and the last run that was moved.
@@ -26,7 +19,7 @@
 }
 
 func newMoves() *moves {
-	return &moves{byTask: map[graph.TaskRef]taskMoves{}}
+	return &moves{taskMap: newTaskMap[taskMoves]()}
 }
 
 // record counts a move of the task. A run counts once, also if its move has to be
@@ -51,17 +44,3 @@
 	defer m.mu.Unlock()
 	return 1 << min(m.byTask[task].count, maxPatienceDoublings)
 }
-
-// forget deletes the counts of jobs that have ended. The function may take locks that are
-// held while moves are counted, as it is not called with the lock held.
-func (m *moves) forget(ended func(graph.JobID) bool) {
-	m.mu.Lock()
-	tasks := slices.Collect(maps.Keys(m.byTask))
-	m.mu.Unlock()
-	tasks = slices.DeleteFunc(tasks, func(task graph.TaskRef) bool { return !ended(task.Job) })
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, task := range tasks {
-		delete(m.byTask, task)
-	}
-}
--- a/internal/push/restarts.go
+++ b/internal/push/restarts.go
@@ -1,9 +1,6 @@
 package push
 
 import (
-	"maps"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,8 +21,7 @@
 // restarts delays the starts of long-running tasks that end at once each time. They are
 // started again however they end, and would otherwise keep the log and their targets busy.
 type restarts struct {
-	mu     sync.Mutex
-	byTask map[graph.TaskRef]restart
+	taskMap[restart]
 }
 
 // restart has the number of short runs in a row, the last of them, and when the task may be
@@ -37,7 +33,7 @@
 }
 
 func newRestarts() *restarts {
-	return &restarts{byTask: map[graph.TaskRef]restart{}}
+	return &restarts{taskMap: newTaskMap[restart]()}
 }
 
 // record records the end of a run that lasted for the given time, and returns the delay of
@@ -80,19 +76,6 @@
 	return now.Before(r.byTask[task].due)
 }
 
-// forget deletes the counts of jobs that have ended, as moves.forget does.
-func (r *restarts) forget(ended func(graph.JobID) bool) {
-	r.mu.Lock()
-	tasks := slices.Collect(maps.Keys(r.byTask))
-	r.mu.Unlock()
-	tasks = slices.DeleteFunc(tasks, func(task graph.TaskRef) bool { return !ended(task.Job) })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, task := range tasks {
-		delete(r.byTask, task)
-	}
-}
-
 // recordRestarts records the ends of long-running tasks that ended by themselves, before
 // the driver forgets their runs.
 func (d *driver) recordRestarts(ends []graph.RunEnd) {
