--- a/internal/push/late_test.go
+++ b/internal/push/late_test.go
@@ -9,11 +9,25 @@
 	"github.com/jasmineward/jasmineward/internal/graph"
 )
 
-// cutOff cuts the target off while job "a" runs there, until its tasks are done and its
-// lease is over.
-func (s *fixture) cutOff(name string) {
+// cutOff cuts the target off while it runs the number of tasks, until these are done and its
+// lease is over. A start that was not answered yet would hold its run for longer.
+func (s *fixture) cutOff(name string, running int) {
 	s.c.Helper()
-	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount(name) > 0 })
+	s.eventually(waitTimeout, "starts are answered", func() bool {
+		d := s.scheduler.currentLeader.Load().driver(graph.TargetID{
+			ID:          name,
+			Incarnation: 1,
+		})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		answered := 0
+		for key, info := range d.runs {
+			if info.state == runStarted && !d.canOutlive(key) {
+				answered++
+			}
+		}
+		return answered == running
+	})
 	s.fleet.withLock(func() { s.fleet.targets[name].silent = true })
 	s.eventually(waitTimeout, "lease is over", func() bool {
 		for _, target := range s.scheduler.ledger.Targets() {
@@ -60,7 +74,7 @@
 	lasting.LongRunning = true
 	lasting.Resources.CPU = 4000
 	s.submit("b", labeled(lasting, "own"))
-	s.cutOff("w0")
+	s.cutOff("w0", 3)
 	s.reach("w0")
 	s.waitCompleted("a")
 	s.c.Check(s.sentRuns("a"), qt.Equals, uint32(1))
@@ -71,7 +85,7 @@
 func TestLateDoneEndsTaskThatRunsElsewhere(t *testing.T) {
 	s := newLateFixture(t, "w0")
 	s.submit("a", tasks(1))
-	s.cutOff("w0")
+	s.cutOff("w0", 1)
 	s.fleet.withLock(func() { s.fleet.runTime = time.Hour })
 	s.startDefaultTarget("w1", 1)
 	s.eventually(waitTimeout, "task runs elsewhere", func() bool { return s.runCount("w1") == 1 })
@@ -88,7 +102,7 @@
 	gang := tasks(2)
 	gang.Gang = true
 	s.submit("a", gang)
-	s.cutOff("w0")
+	s.cutOff("w0", 2)
 	s.fleet.withLock(func() { s.fleet.runTime = time.Hour })
 	s.startDefaultTarget("w1", 1)
 	s.eventually(waitTimeout, "gang runs elsewhere", func() bool { return s.runCount("w1") == 2 })
@@ -105,7 +119,7 @@
 		step := tasks(2)
 		step.Gang = gang
 		s.submit("a", step)
-		s.cutOff("w0")
+		s.cutOff("w0", 2)
 		if !gang {
 			leaving := defaultAnnouncement("w0", 1)
 			leaving.Leaving = true
@@ -131,7 +145,7 @@
 	lasting.LongRunning = true
 	s.submit("a", lasting)
 	s.submit("b", tasks(1))
-	s.cutOff("w0")
+	s.cutOff("w0", 2)
 	answer, fault := s.scheduler.Cancel(s.ctx(), &JobQuery{
 		Address: s.address(),
 		ID:      "b",
