Hand the model's relay a copy of a renewal, as a network would

Cause: the stand-in for the network shared a renewal with the leader, which changes it when it repeats the call. The product encodes the call before.

Change: the relay gets a copy.

--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -161,7 +161,12 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	replies := make(chan wire.Reply[OrderReply], 1)
+	// The relay gets a copy, as over a network: the leader changes a renewal that it repeats.
 	sent := *args
+	if args.Hold != nil {
+		renewal := *args.Hold
+		sent.Hold = &renewal
+	}
 	go func() {
 		c.waitThawed()
 		var reply wire.Reply[OrderReply]
