--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -194,8 +194,10 @@
 	Desired bool
 	Payload string
 	// Checkpoint is the latest checkpoint of the task.
-	Checkpoint  string
-	Queue       string
+	Checkpoint string
+	Queue      string
+	// NeedsAdvice is set if a start of the run needs a ticket.
+	NeedsAdvice bool
 	BestEffort  bool
 	Latency     Millis
 	LongRunning bool
@@ -339,6 +341,7 @@
 	assignment.Payload = job.Spec.Payload
 	assignment.Checkpoint = task.Checkpoint
 	assignment.Queue = job.Queue
+	assignment.NeedsAdvice = l.needsAdvice(job)
 	assignment.BestEffort = step.BestEffort
 	assignment.Latency = step.Latency
 	assignment.LongRunning = step.LongRunning
@@ -354,6 +357,15 @@
 	return assignment
 }
 
+// needsAdvice reports whether the job's queue needs advice. The lock must be held.
+func (l *Ledger) needsAdvice(job *Job) bool {
+	if l.config == nil {
+		return false
+	}
+	queue := l.config.queues[job.Queue]
+	return queue != nil && queue.Advice != nil
+}
+
 // HasBlame reports whether crashes of targets are held against the task.
 func (a *Assignment) HasBlame() bool {
 	return a.Crashes.Total > 0 || len(a.Blame.Targets) > 0
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -32,10 +32,16 @@
 	return ticket.ExpiresAt.Sub(at) >= minTicketLifetime
 }
 
+// IsValidAt reports whether the ticket has not expired at the given time. The zero ticket
+// belongs to a start that needs none, and does not expire.
+func (t Ticket) IsValidAt(at time.Time) bool {
+	return t == Ticket{} || t.ExpiresAt.After(at)
+}
+
 // requestAdvice requests advice that the step needs for its waiting tasks to
 // start. It requests none that would not let a task start soon.
 func (p *planner) requestAdvice(step *pendingStep, advice *StepAdvice, hold *Hold) {
-	if advice != nil && advice.InFlight || !p.canRequestAdvice(step) || !p.withinClientAccountLimit(step) {
+	if advice != nil && advice.InFlight || !p.mayRequestAdvice(step) || !p.withinClientAccountLimit(step) {
 		return
 	}
 	request := AdviceRequest{
@@ -53,6 +59,11 @@
 	}
 }
 
+// mayRequestAdvice reports whether advice for the step may be requested now.
+func (p *planner) mayRequestAdvice(step *pendingStep) bool {
+	return p.canRequestAdvice(step) || p.input.Renew != nil && p.input.Renew(step.key)
+}
+
 // canRequestAdvice reports whether a request of the step's queue could be served
 // now, were it the next one.
 func (p *planner) canRequestAdvice(step *pendingStep) bool {
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -117,7 +117,7 @@
 		p.colocationOf(target).services++
 	}
 	if advice != nil {
-		p.decision.Tickets[ref] = advice.Approved[target.info.ID.ID].Value
+		p.decision.Tickets[ref] = advice.Approved[target.info.ID.ID]
 	}
 }
 
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -75,6 +75,10 @@
 	// FreeAdviceCalls returns how many advice calls of the given expected time
 	// can be made now.
 	FreeAdviceCalls func(callTime time.Duration) int
+	// Renew reports whether a ticket of the step expired before its task was started.
+	// Its advice is requested even if more urgent requests take all calls. Nil reports
+	// none.
+	Renew func(StepKey) bool
 	// ExpectedEnd predicts the end of a run from its progress, or returns false.
 	ExpectedEnd func(id graph.TargetID, task graph.TaskRef, run uint32) (time.Time, bool)
 	// Holds has the room held by the previous decision.
@@ -120,8 +124,9 @@
 type Decision struct {
 	// Groups holds the placements in groups: all tasks of a gang, or a single
 	// task.
-	Groups  [][]graph.Placement
-	Tickets map[graph.TaskRef]string
+	Groups [][]graph.Placement
+	// Tickets has the tickets of the placed tasks of queues that need advice.
+	Tickets map[graph.TaskRef]Ticket
 	// AdviceRequests are in the order of urgency. There may be more of them
 	// than calls can be made now.
 	AdviceRequests []AdviceRequest
@@ -168,7 +173,7 @@
 		largestByService:      map[string]quota.Resources{},
 	}
 	p.decision.Holds = map[StepKey]*Hold{}
-	p.decision.Tickets = map[graph.TaskRef]string{}
+	p.decision.Tickets = map[graph.TaskRef]Ticket{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
 	steps := p.pendingSteps()
 	if len(steps) == 0 {
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -39,6 +39,9 @@
 	share   fairq.Share[string]
 	// unusedAnswers has the steps with an answer on which no start is based yet.
 	unusedAnswers map[plan.StepKey]bool
+	// renewals has the steps of which a ticket expired before its task was started. Their
+	// requests go before the others of their queue.
+	renewals map[plan.StepKey]bool
 	// waitingSince has the time since when a step's request waits for a call.
 	waitingSince map[plan.StepKey]time.Time
 	// approvalRateByQueue is a moving average of the fraction of targets that
@@ -54,6 +57,7 @@
 			return l.scheduler.cell.LiveAddresses(instanceHeardWithin)
 		}),
 		unusedAnswers:       map[plan.StepKey]bool{},
+		renewals:            map[plan.StepKey]bool{},
 		waitingSince:        map[plan.StepKey]time.Time{},
 		approvalRateByQueue: map[string]float64{},
 	}
@@ -78,6 +82,14 @@
 	return a.answers[key]
 }
 
+// ticket returns the ticket for a start of the step on the target, or the zero ticket.
+func (a *adviceClient) ticket(key plan.StepKey, target string) plan.Ticket {
+	if known := a.lookup(key); known != nil {
+		return known.Approved[target]
+	}
+	return plan.Ticket{}
+}
+
 // freeCalls returns how many calls of the given time can be made now, if calls are
 // assigned again after the horizon.
 func (a *adviceClient) freeCalls(now time.Time, horizon time.Duration) func(callTime time.Duration) int {
@@ -90,15 +102,50 @@
 // calls are assigned again, after the horizon. The queues share the time of the
 // instances; the requests of one queue are served in the order given.
 func (a *adviceClient) request(requests []plan.AdviceRequest, now time.Time, horizon time.Duration) {
-	backlog := newAdviceBacklog(requests, a.leader.scheduler.ledger.MostUrgentAdvice())
+	urgentPriority := a.leader.scheduler.ledger.MostUrgentAdvice()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordWaits(requests, now)
+	backlog := newAdviceBacklog(a.renewalsFirst(requests), urgentPriority)
 	for _, call := range backlog.assign(&a.share, a.callers.slots(now, horizon)) {
 		a.startCall(call, now)
 	}
 }
 
+// renewalsFirst returns the requests in the order in which they are served. The lock must
+// be held.
+func (a *adviceClient) renewalsFirst(requests []plan.AdviceRequest) []plan.AdviceRequest {
+	if len(a.renewals) == 0 {
+		return requests
+	}
+	ordered := slices.Clone(requests)
+	slices.SortStableFunc(ordered, func(x, y plan.AdviceRequest) int {
+		switch {
+		case a.renewals[x.Step] == a.renewals[y.Step]:
+			return 0
+		case a.renewals[x.Step]:
+			return -1
+		}
+		return 1
+	})
+	return ordered
+}
+
+// renew has the next request for the step's advice go before the others of its queue.
+func (a *adviceClient) renew(key plan.StepKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.renewals[key] = true
+}
+
+// isRenewal reports whether a ticket of the step expired before its task was started, and
+// no call has been made since.
+func (a *adviceClient) isRenewal(key plan.StepKey) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.renewals[key]
+}
+
 // recordWaits records since when each of the requests waits.
 func (a *adviceClient) recordWaits(requests []plan.AdviceRequest, now time.Time) {
 	waiting := make(map[plan.StepKey]time.Time, len(requests))
@@ -119,6 +166,7 @@
 	waited := now.Sub(a.waitingSince[request.Step])
 	a.leader.scheduler.metrics.adviceWait.Observe(waited.Seconds())
 	delete(a.waitingSince, request.Step)
+	delete(a.renewals, request.Step)
 	next := &plan.StepAdvice{InFlight: true}
 	if known := a.answers[request.Step]; known != nil {
 		next.Approved = known.Approved
@@ -250,19 +298,22 @@
 // removeEndedJobs removes cached answers for jobs that have ended.
 func (a *adviceClient) removeEndedJobs() {
 	a.mu.Lock()
-	steps := slices.Collect(maps.Keys(a.answers))
+	steps := slices.Concat(slices.Collect(maps.Keys(a.answers)), slices.Collect(maps.Keys(a.renewals)))
 	a.mu.Unlock()
-	steps = slices.DeleteFunc(steps, func(key plan.StepKey) bool {
+	ended := slices.DeleteFunc(steps, func(key plan.StepKey) bool {
 		return a.leader.scheduler.ledger.IsLive(key.Job)
 	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, key := range steps {
+	for _, key := range ended {
 		if known := a.answers[key]; known != nil && !known.InFlight {
 			delete(a.answers, key)
 			delete(a.unusedAnswers, key)
 		}
 	}
+	for _, key := range ended {
+		delete(a.renewals, key)
+	}
 }
 
 // recordStart records that tasks of the step are started with tickets from its
--- a/internal/push/dead_target_test.go
+++ b/internal/push/dead_target_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/pkg/quota"
 )
 
@@ -140,7 +141,7 @@
 		}
 		d.setClock(Clock(time.Hour))
 		d.recordAnswer(0, ErrNoAnswer)
-		state := d.sendStart(keyOf(assignment.Task, assignment.Run), "", time.Now().Add(maxStartDelay))
+		state := d.sendStart(keyOf(assignment.Task, assignment.Run), plan.Ticket{}, time.Now().Add(maxStartDelay))
 		s.c.Check(state, qt.Equals, test.want, qt.Commentf("inherited %t", test.inherited))
 	}
 	s.fleet.withLock(func() { s.c.Check(s.fleet.starts, qt.HasLen, 1) })
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -65,6 +65,7 @@
 			Advice:          l.advice.lookup,
 			ApprovalRate:    l.advice.approvalRate,
 			FreeAdviceCalls: l.advice.freeCalls(now, l.decisionPause),
+			Renew:           l.advice.isRenewal,
 			ExpectedEnd:     l.expectedEnd,
 			Holds:           l.holds,
 			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
@@ -110,7 +111,9 @@
 	if fault != nil {
 		return
 	}
+	var withheld []graph.Placement
 	placed := map[plan.StepKey][]string{}
+	done := time.Now()
 	for i, group := range decision.Groups {
 		if refusal := result.Groups[i]; refusal != "" {
 			l.log.WithFields(logrus.Fields{
@@ -119,12 +122,17 @@
 			}).Warn("sched: placement refused")
 			continue
 		}
+		if hasExpired(group, decision.Tickets, done) {
+			withheld = append(withheld, group...)
+			continue
+		}
 		for _, placement := range group {
 			step := plan.StepKeyOf(placement.Task)
 			placed[step] = append(placed[step], placement.Task.RunName(placement.Run)+"@"+placement.Target.ID)
 			l.sendStart(placement, decision.Tickets[placement.Task])
 		}
 	}
+	l.withholdStarts(withheld, decision.Tickets, done)
 	for step, placements := range placed {
 		l.observeFirstPlacement(step.Job)
 		l.advice.recordStart(step)
@@ -148,7 +156,7 @@
 }
 
 // sendStart has the target's driver send the start.
-func (l *leader) sendStart(placement graph.Placement, ticket string) {
+func (l *leader) sendStart(placement graph.Placement, ticket plan.Ticket) {
 	if d := l.driver(placement.Target); d != nil {
 		d.start(placement.Task, placement.Run, ticket)
 	}
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math"
 	"sync"
 	"testing"
@@ -86,6 +87,8 @@
 	refused        int
 	doubleRuns     []string
 	ticketByTarget map[string]string
+	// adviceValid is how long tickets are valid.
+	adviceValid time.Duration
 	// stopTime is how long a stop takes to be answered. stopsInFlight counts the
 	// stops that are not answered yet, and maxStopsInFlight is their maximum.
 	stopTime         time.Duration
@@ -335,8 +338,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return Advice{
-		Good:  f.ticketByTarget,
-		Valid: 2 * time.Second,
+		Good:  maps.Clone(f.ticketByTarget),
+		Valid: f.adviceValid,
 	}, nil
 }
 
@@ -398,6 +401,7 @@
 		startDelay:     600 * time.Millisecond,
 		checkTickets:   advice,
 		ticketByTarget: map[string]string{},
+		adviceValid:    2 * time.Second,
 	}
 	address := local.UnusedAddress()
 	scheduler := startScheduler(t, group.Config{
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -28,7 +28,7 @@
 )
 
 // start sends the start of a run on a new goroutine, or commits its end if the task is done.
-func (d *driver) start(task graph.TaskRef, run uint32, ticket string) {
+func (d *driver) start(task graph.TaskRef, run uint32, ticket plan.Ticket) {
 	key := keyOf(task, run)
 	if !d.claimStart(key) {
 		return
@@ -135,8 +135,8 @@
 // sendStart sends the start until it is answered or the attempts are used up, and
 // returns the resulting state of the run. All attempts carry the deadline of the
 // first, so that repeating a start extends no lease. If the target does not answer
-// by the given time, the start is not sent.
-func (d *driver) sendStart(key runKey, ticket string, sendBy time.Time) runState {
+// by the given time, or its ticket expires before, the start is not sent.
+func (d *driver) sendStart(key runKey, ticket plan.Ticket, sendBy time.Time) runState {
 	var deadline Clock
 	inherited := d.isInherited(key)
 	sent, arrived := false, false
@@ -148,7 +148,7 @@
 		if deadline == 0 {
 			deadline = d.extendLease()
 		}
-		if deadline == 0 && time.Now().After(sendBy) {
+		if !sent && d.isTooLate(key, ticket, deadline, sendBy) {
 			break
 		}
 		if deadline == 0 || !d.leader.canSendOrders() {
@@ -166,7 +166,7 @@
 			Run:        key.run,
 			Payload:    assignment.Payload,
 			Checkpoint: assignment.Checkpoint,
-			Ticket:     ticket,
+			Ticket:     ticket.Value,
 			Deadline:   deadline,
 			Token:      d.leader.token(),
 		}, sent)
@@ -187,6 +187,12 @@
 	return d.unsentState(key)
 }
 
+// isTooLate reports whether a start of which none was sent yet is not sent any more, because
+// the target has not answered in time, so that there is no deadline, or the ticket expires.
+func (d *driver) isTooLate(key runKey, ticket plan.Ticket, deadline Clock, sendBy time.Time) bool {
+	return deadline == 0 && time.Now().After(sendBy) || d.withholdsExpired(key, ticket)
+}
+
 // leastClock returns a lower bound of the target's clock, or zero while none is known.
 func (d *driver) leastClock() Clock {
 	d.mu.Lock()
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -179,7 +179,7 @@
 		d.stop(key)
 	case listed, state == runSending, state == runPlaced && since < startSendGrace:
 	case state == runUnknown && startable, state == runPlaced && startable:
-		d.start(key.task, key.run, "")
+		return d.startUnsent(assignment, key, state)
 	case state == runUnknown, state == runUncertain, state == runPlaced:
 		d.stop(key)
 	case state == runAbsent:
--- a/internal/push/suspect_test.go
+++ b/internal/push/suspect_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
+	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
 // crashTime is how long a target is down after a crash.
@@ -136,7 +137,7 @@
 		d := newDriver(s.scheduler.currentLeader.Load(), target)
 		d.setClock(Clock(time.Hour))
 		s.fleet.withLock(func() { s.fleet.targets["w0"].down = test.down })
-		d.sendStart(keyOf(assignment.Task, assignment.Run), "", time.Now().Add(maxStartDelay))
+		d.sendStart(keyOf(assignment.Task, assignment.Run), plan.Ticket{}, time.Now().Add(maxStartDelay))
 		s.c.Check(d.suspects([]graph.Assignment{assignment}), qt.HasLen, test.suspects, qt.Commentf("down %t", test.down))
 	}
 }
