--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -111,6 +111,23 @@
 	return priority
 }
 
+// ShortestAdvice returns the shortest validity of the queues' tickets, or zero if no queue
+// needs advice.
+func (l *Ledger) ShortestAdvice() time.Duration {
+	config := l.Config()
+	if config == nil {
+		return 0
+	}
+	var shortest time.Duration
+	for i := range config.Queues {
+		advice := config.Queues[i].Advice
+		if advice != nil && advice.Valid > 0 && (shortest == 0 || advice.Valid < shortest) {
+			shortest = advice.Valid
+		}
+	}
+	return shortest
+}
+
 // Targets returns copies of all targets, without their runs.
 func (l *Ledger) Targets() []Target {
 	l.mu.RLock()
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -83,6 +83,9 @@
 	ExpectedEnd func(id graph.TargetID, task graph.TaskRef, run uint32) (time.Time, bool)
 	// Holds has the room held by the previous decision.
 	Holds map[StepKey]*Hold
+	// MaxPlacements limits the tasks placed by the decision further than maxPlacements. Zero
+	// does not.
+	MaxPlacements int
 	// Pending contains the placements that are proposed but not yet committed
 	// to the log.
 	Pending map[graph.TaskRef]graph.TargetID
@@ -180,8 +183,12 @@
 		return p.decision
 	}
 	p.loadTargets()
+	limit := maxPlacements
+	if in.MaxPlacements > 0 {
+		limit = min(limit, in.MaxPlacements)
+	}
 	for _, step := range steps {
-		if p.placedTasks >= maxPlacements {
+		if p.placedTasks >= limit {
 			p.decision.WaitReasons[step.key] = ReasonMoreUrgentWork
 			continue
 		}
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -20,8 +20,6 @@
 	maxDecisionInterval = 100 * time.Millisecond
 	// decisionPauseFactor is the ratio of the pause after a decision to its time.
 	decisionPauseFactor = 8
-	// maxProposalsInFlight bounds the decisions that are being committed.
-	maxProposalsInFlight = 3
 )
 
 // decisionLoop makes decisions periodically and when woken.
@@ -47,13 +45,15 @@
 }
 
 // decide makes one decision, requests the advice that it lacks, and starts the
-// commit of its placements.
+// commit of its placements. While slow commits allow no further proposal, it only requests
+// advice, so that the advisor's time is used.
 func (l *leader) decide() {
+	limits := l.placementLimits(time.Now())
 	l.mu.Lock()
-	busy := l.proposalsInFlight >= maxProposalsInFlight
+	busy := l.proposalsInFlight >= limits.proposals
 	pending := maps.Clone(l.pendingPlacements)
 	l.mu.Unlock()
-	if busy {
+	if busy && limits.proposals == maxProposalsInFlight {
 		return
 	}
 	var decision plan.Decision
@@ -66,6 +66,7 @@
 			ApprovalRate:    l.advice.approvalRate,
 			FreeAdviceCalls: l.advice.freeCalls(now, l.decisionPause),
 			Renew:           l.advice.isRenewal,
+			MaxPlacements:   limits.placements,
 			ExpectedEnd:     l.expectedEnd,
 			Holds:           l.holds,
 			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
@@ -79,7 +80,7 @@
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
-	if len(decision.Groups) == 0 {
+	if len(decision.Groups) == 0 || busy {
 		return
 	}
 	l.mu.Lock()
@@ -93,6 +94,27 @@
 	l.goroutines.Go(func() { l.commitDecision(decision) })
 }
 
+// placementLimits returns the bounds on the placements that are proposed now, and logs when
+// slow commits lower them and when they no longer do.
+func (l *leader) placementLimits(now time.Time) flowLimits {
+	valid := l.scheduler.ledger.ShortestAdvice()
+	l.mu.Lock()
+	limits, took := l.flow.limits(now, valid), l.flow.commitTime(now)
+	l.mu.Unlock()
+	if limited := limits.proposals < maxProposalsInFlight; limited != l.flowLimited {
+		l.flowLimited = limited
+		l.log.WithFields(logrus.Fields{
+			"limited":    limited,
+			"commit":     took.Milliseconds(),
+			"valid":      valid.Milliseconds(),
+			"proposals":  limits.proposals,
+			"placements": limits.placements,
+		}).Info("sched: proposals follow commit time")
+	}
+	l.scheduler.metrics.placementLimit.Set(float64(limits.placements))
+	return limits
+}
+
 // commitDecision commits the placements of a decision and sends their starts.
 func (l *leader) commitDecision(decision plan.Decision) {
 	result, fault := l.propose(l.ctx, graph.Command{Place: &graph.Place{Groups: decision.Groups}})
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -56,6 +56,9 @@
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
+	// flowLimited is true while slow commits lower the bounds on proposals. Only the
+	// decision loop uses it.
+	flowLimited bool
 	// losses has the losses of targets that this leader has seen, by address.
 	losses *blame.Monitor[string, graph.TargetID, graph.TaskRef]
 	// startLatency estimates the time until a start is answered.
@@ -66,6 +69,8 @@
 	// proposalsInFlight counts the proposals that contain them.
 	pendingPlacements map[graph.TaskRef]graph.TargetID
 	proposalsInFlight int
+	// flow bounds the proposals by the time of commits.
+	flow *commitFlow
 	// uncertainPlacements counts the placements whose commit is uncertain, by target.
 	uncertainPlacements map[graph.TargetID]int
 	// admittedAt has the admission times of the jobs that this leader admitted
@@ -106,6 +111,7 @@
 		doneTasks:         newDoneTasks(),
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
+		flow:              newCommitFlow(),
 
 		uncertainPlacements: map[graph.TargetID]int{},
 
@@ -193,9 +199,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	sent := time.Now()
-	value, err := l.scheduler.cell.Propose(ctx, data)
-	observeSince(l.scheduler.metrics.commit, sent)
+	value, err := l.proposeTimed(ctx, data)
 	switch {
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransfer):
 		return graph.Result{}, wire.NewFault(wire.CodeNotLeader, "")
@@ -216,6 +220,22 @@
 	return result, nil
 }
 
+// proposeTimed proposes an encoded command and records how long its commit takes.
+func (l *leader) proposeTimed(ctx context.Context, data []byte) (any, error) {
+	sent := time.Now()
+	l.mu.Lock()
+	number := l.flow.begin(sent)
+	l.mu.Unlock()
+	value, err := l.scheduler.cell.Propose(ctx, data)
+	observeSince(l.scheduler.metrics.commit, sent)
+	refused := errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrLeadershipTransfer) ||
+		errors.Is(err, raft.ErrBusy) || errors.Is(err, raft.ErrTooLarge)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flow.end(number, time.Now(), refused)
+	return value, err
+}
+
 // cleanupLoop periodically removes old jobs, and cached data of ended jobs. A
 // decision takes the locks of that data while it reads the ledger, so the ledger is
 // not read with one of them held: with a command waiting to be applied, both would
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -17,27 +17,28 @@
 // metrics are the metrics of one instance. Labels have few distinct values, so
 // they do not include names of jobs, client accounts or targets.
 type metrics struct {
-	registry      *prometheus.Registry
-	leading       prometheus.Gauge
-	submits       *prometheus.CounterVec
-	cancels       *prometheus.CounterVec
-	orders        *prometheus.CounterVec
-	routes        *prometheus.CounterVec
-	runsEnded     *prometheus.CounterVec
-	electionsWon  prometheus.Counter
-	crashes       prometheus.Counter
-	jobsGivenUp   prometheus.Counter
-	adoptedRuns   prometheus.Counter
-	outlivingRuns prometheus.Counter
-	overdueOrders prometheus.Counter
-	lateEnds      prometheus.Counter
-	withheld      *prometheus.CounterVec
-	waiting       *prometheus.GaugeVec
-	commit        prometheus.Histogram
-	logSync       prometheus.Histogram
-	advice        prometheus.Histogram
-	adviceWait    prometheus.Histogram
-	adviceBacklog prometheus.Gauge
+	registry       *prometheus.Registry
+	leading        prometheus.Gauge
+	submits        *prometheus.CounterVec
+	cancels        *prometheus.CounterVec
+	orders         *prometheus.CounterVec
+	routes         *prometheus.CounterVec
+	runsEnded      *prometheus.CounterVec
+	electionsWon   prometheus.Counter
+	crashes        prometheus.Counter
+	jobsGivenUp    prometheus.Counter
+	adoptedRuns    prometheus.Counter
+	outlivingRuns  prometheus.Counter
+	overdueOrders  prometheus.Counter
+	lateEnds       prometheus.Counter
+	placementLimit prometheus.Gauge
+	withheld       *prometheus.CounterVec
+	waiting        *prometheus.GaugeVec
+	commit         prometheus.Histogram
+	logSync        prometheus.Histogram
+	advice         prometheus.Histogram
+	adviceWait     prometheus.Histogram
+	adviceBacklog  prometheus.Gauge
 	// adviceAnswers counts the advisor's answers, and adviceAnswersUsed those on
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
@@ -96,6 +97,10 @@
 			"Orders that reached this relay after the leader had given them up."),
 		lateEnds: counter("jasmineward_late_ends_total",
 			"Ends done of runs whose tasks had been put back."),
+		placementLimit: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "jasmineward_placement_limit",
+			Help: "Tasks that this leader's next decision may place, as commits take.",
+		}),
 		withheld: counterVec("jasmineward_starts_withheld_total",
 			"Starts that were not sent because no valid ticket was left, by reason.", "reason"),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -119,7 +124,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
