--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/jasmineward/jasmineward/internal/admit"
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
@@ -18,7 +19,7 @@
 const neverFitsRetry = 10 * time.Second
 
 // submit admits a job. Submitting an admitted job again has no further
-// effect.
+// effect. A job that would be served too late is refused.
 func (l *leader) submit(ctx context.Context, s *graph.Submit) (Answer, *wire.Fault) {
 	known, refusal := l.scheduler.ledger.CheckSubmit(s)
 	if refusal != "" || known {
@@ -29,34 +30,62 @@
 		}
 		return answer, nil
 	}
+	terms, refusal := l.scheduler.ledger.TermsOf(s)
+	if refusal != "" {
+		l.recordAdmission(s, refusal, false)
+		return Answer{Refusal: refusal}, nil
+	}
+	job, overload, refused := l.admissions.decide(s, terms, time.Now())
+	if refused {
+		l.recordOverload(s, terms, overload)
+		return Answer{
+			Refusal:    graph.RefusedQueueFull,
+			RetryAfter: overload.RetryAfter,
+		}, nil
+	}
+	defer l.admissions.propose(s.ID)()
 	result, fault := l.propose(ctx, graph.Command{Submit: s})
 	if fault != nil {
 		l.log.WithField("job", s.ID).WithField("fault", fault.Error()).Warn("admit: submission not committed")
 		return Answer{}, fault
 	}
+	if result.Refusal == "" {
+		l.admissions.admitted(s.ID, job, time.Now())
+	}
 	l.recordAdmission(s, result.Refusal, false)
 	l.wakeDecisionLoop()
 	return Answer{Refusal: result.Refusal}, nil
 }
 
-// recordAdmission logs and counts the result of a submission, and stores the
-// time of the first admission.
+// recordOverload logs and counts a submission that is refused because of a backlog.
+func (l *leader) recordOverload(s *graph.Submit, terms graph.Terms, refusal admit.Refusal) {
+	l.scheduler.metrics.submits.WithLabelValues(string(graph.RefusedQueueFull)).Inc()
+	l.scheduler.metrics.overload.WithLabelValues(string(refusal.Rule)).Inc()
+	l.log.WithFields(logrus.Fields{
+		"job":     s.ID,
+		"queue":   terms.Queue,
+		"tenant":  terms.ClientAccount,
+		"refusal": graph.RefusedQueueFull,
+		"rule":    refusal.Rule,
+		"wait":    refusal.Wait.Milliseconds(),
+		"retry":   refusal.RetryAfter.Milliseconds(),
+	}).Info("admit: refused")
+}
+
+// recordAdmission logs and counts the result of a submission.
 func (l *leader) recordAdmission(s *graph.Submit, refusal graph.Refusal, again bool) {
 	entry := l.log.WithFields(logrus.Fields{
 		"job":   s.ID,
 		"queue": s.Address.Host + s.Address.Path,
 	})
 	l.scheduler.metrics.submits.WithLabelValues(string(refusal)).Inc()
-	if refusal == "" && !again {
-		l.mu.Lock()
-		l.admittedAt[s.ID] = time.Now()
-		l.mu.Unlock()
-		entry = entry.WithField("steps", describeSteps(s.Spec.Steps))
-	}
 	if refusal != "" {
 		entry.WithField("refusal", refusal).Info("admit: refused")
 		return
 	}
+	if !again {
+		entry = entry.WithField("steps", describeSteps(s.Spec.Steps))
+	}
 	entry.WithField("again", again).Info("admit: admitted")
 }
 
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -75,6 +75,7 @@
 	})
 	observeSince(l.scheduler.metrics.decide, now)
 	l.waitLog.update(now, decision.WaitReasons)
+	l.admissions.recordWaits(decision.WaitReasons, now)
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
@@ -138,11 +139,7 @@
 // observeFirstPlacement records the time from a job's admission to its first
 // placement, if this leader admitted it.
 func (l *leader) observeFirstPlacement(id graph.JobID) {
-	l.mu.Lock()
-	admittedAt, found := l.admittedAt[id]
-	delete(l.admittedAt, id)
-	l.mu.Unlock()
-	if found {
+	if admittedAt, known := l.admissions.placed(id, time.Now()); known {
 		observeSince(l.scheduler.metrics.firstPlacement, admittedAt)
 	}
 }
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +54,9 @@
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
+	// admissions has the jobs that wait for their first placement, and those over the
+	// rate of their client account.
+	admissions *admissions
 	// losses has the losses of targets that this leader has seen, by address.
 	losses *blame.Monitor[string, graph.TargetID, graph.TaskRef]
 	// startLatency estimates the time until a start is answered.
@@ -68,10 +69,7 @@
 	proposalsInFlight int
 	// uncertainPlacements counts the placements whose commit is uncertain, by target.
 	uncertainPlacements map[graph.TargetID]int
-	// admittedAt has the admission times of the jobs that this leader admitted
-	// and that have no placement yet.
-	admittedAt map[graph.JobID]time.Time
-	drivers    map[graph.TargetID]*driver
+	drivers             map[graph.TargetID]*driver
 	// announcing has the incarnations whose announcement is being committed.
 	announcing map[graph.TargetID]chan struct{}
 	// newestIncarnation is the newest known incarnation by target id, and
@@ -109,7 +107,7 @@
 
 		uncertainPlacements: map[graph.TargetID]int{},
 
-		admittedAt: map[graph.JobID]time.Time{},
+		admissions: newAdmissions(),
 
 		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
 		startLatency: delay.NewEstimator(minStartTimeout, s.timing.CallTimeout),
@@ -128,6 +126,7 @@
 	for _, t := range s.ledger.Targets() {
 		l.newestIncarnation[t.ID.ID] = max(l.newestIncarnation[t.ID.ID], t.ID.Incarnation)
 	}
+	l.admissions.restore(s.ledger.AdmissionsSince(graph.Millis(l.started.Add(-admissionHistory).UnixMilli())))
 	l.advice = newAdviceClient(l)
 	l.relays = newRelays(s.cell, l.log, s.timing.ClockDrift)
 	l.targets = &relayedTargets{
@@ -223,7 +222,7 @@
 func (l *leader) cleanupLoop() {
 	for group.SleepContext(l.ctx, cleanupInterval) {
 		l.advice.removeEndedJobs()
-		l.removeEndedAdmissions()
+		l.admissions.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) }, time.Now())
 		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.restarts.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.doneTasks.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
@@ -237,17 +236,3 @@
 		}
 	}
 }
-
-// removeEndedAdmissions removes the admission times of jobs that ended without a
-// placement.
-func (l *leader) removeEndedAdmissions() {
-	l.mu.Lock()
-	ids := slices.Collect(maps.Keys(l.admittedAt))
-	l.mu.Unlock()
-	ids = slices.DeleteFunc(ids, l.scheduler.ledger.IsLive)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range ids {
-		delete(l.admittedAt, id)
-	}
-}
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -20,6 +20,7 @@
 	registry      *prometheus.Registry
 	leading       prometheus.Gauge
 	submits       *prometheus.CounterVec
+	overload      *prometheus.CounterVec
 	cancels       *prometheus.CounterVec
 	orders        *prometheus.CounterVec
 	routes        *prometheus.CounterVec
@@ -78,6 +79,8 @@
 		}),
 		submits: counterVec("jasmineward_submits_total",
 			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
+		overload: counterVec("jasmineward_overload_refusals_total",
+			"Submits refused by this leader because of a backlog, by rule.", "rule"),
 		cancels: counterVec("jasmineward_cancels_total",
 			"Cancels decided by this leader, by refusal; empty is allowed.", "refusal"),
 		orders: counterVec("jasmineward_orders_total",
@@ -116,7 +119,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.overload, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/jasmineward/jasmineward/internal/admit"
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/pkg/pace"
@@ -226,12 +227,10 @@
 		{
 			name: "removal of admissions",
 			byOther: func(l *leader) {
-				l.mu.Lock()
-				l.admittedAt["ended"] = time.Now()
-				l.mu.Unlock()
-				l.removeEndedAdmissions()
+				l.admissions.admitted("ended", admit.Job{ID: "ended"}, time.Now())
+				l.admissions.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) }, time.Now())
 			},
-			byDecision: func(l *leader) { l.usable(graph.TargetID{ID: "w0"}, time.Now()) },
+			byDecision: func(l *leader) { l.admissions.isOverRate("ended") },
 		},
 		{
 			name: "removal of advice",
