--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -479,6 +479,18 @@
 	return l.liveJobs[id] != nil
 }
 
+// AdviceQueueOf returns the queue of a live job. It returns false if the job is over or its
+// queue needs no advice.
+func (l *Ledger) AdviceQueueOf(id JobID) (Queue, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	job := l.liveJobs[id]
+	if job == nil || !l.needsAdvice(job) {
+		return Queue{}, false
+	}
+	return *l.config.queues[job.Queue], true
+}
+
 // IsLongRunning reports whether the task belongs to a live job and a step whose tasks run
 // until the job is cancelled.
 func (l *Ledger) IsLongRunning(ref TaskRef) bool {
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -32,6 +33,8 @@
 // and shares the instances' time among the queues.
 type adviceClient struct {
 	leader *leader
+	// recalled is true once the answers that instances have need not be waited for.
+	recalled atomic.Bool
 
 	mu      sync.Mutex
 	answers map[plan.StepKey]*plan.StepAdvice
@@ -106,6 +109,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.recordWaits(requests, now)
+	if !a.recalled.Load() {
+		return
+	}
 	backlog := newAdviceBacklog(a.renewalsFirst(requests), urgentPriority)
 	for _, call := range backlog.assign(&a.share, a.callers.slots(now, horizon)) {
 		a.startCall(call, now)
@@ -220,7 +226,7 @@
 ) (Advice, error) {
 	step := request.Step.TaskRef(0)
 	if address == a.leader.scheduler.cell.Address() {
-		return a.leader.scheduler.advisor.Advise(ctx, step, request.Targets)
+		return a.leader.scheduler.advise(ctx, step, request.Targets)
 	}
 	args := &AdviseArgs{
 		Step:    step,
@@ -260,35 +266,20 @@
 	a.callers.finish(address)
 	a.unusedAnswers[request.Step] = true
 	a.leader.scheduler.metrics.adviceAnswers.Inc()
-	next := &plan.StepAdvice{
-		Approved:  map[string]plan.Ticket{},
-		Requested: map[string]bool{},
-	}
-	if known := a.answers[request.Step]; known != nil {
-		maps.Copy(next.Approved, known.Approved)
-		maps.Copy(next.Requested, known.Requested)
-	}
 	valid := answer.Valid
 	if valid == 0 {
 		valid = request.Queue.Advice.Valid
 	}
-	for _, id := range request.Targets {
-		next.Requested[id] = true
-		if value, ok := answer.Good[id]; ok {
-			next.Approved[id] = plan.Ticket{
-				Value:     value,
-				ExpiresAt: sent.Add(expectedCallTime(request)).Add(valid),
-			}
-		}
-	}
+	expires := sent.Add(expectedCallTime(request)).Add(valid)
+	next := mergedAdvice(a.answers[request.Step], request, answer.Good, expires)
 	a.answers[request.Step] = next
-	a.updateApprovalRate(request, answer)
+	a.updateApprovalRate(request, len(answer.Good))
 }
 
-// updateApprovalRate adds an answer to the moving average of its queue. The lock
+// updateApprovalRate adds an answer, by its number of good targets, to the moving average of its queue. The lock
 // must be held.
-func (a *adviceClient) updateApprovalRate(request plan.AdviceRequest, answer Advice) {
-	rate := float64(len(answer.Good)) / float64(len(request.Targets))
+func (a *adviceClient) updateApprovalRate(request plan.AdviceRequest, good int) {
+	rate := float64(good) / float64(len(request.Targets))
 	if previous, ok := a.approvalRateByQueue[request.Queue.Name]; ok {
 		rate = previous + approvalRateWeight*(rate-previous)
 	}
--- a/internal/push/cell.go
+++ b/internal/push/cell.go
@@ -31,6 +31,8 @@
 	// Order and Advise have the instance at the address make a call.
 	Order(ctx context.Context, address string, args *OrderArgs, limit time.Duration) (wire.Reply[OrderReply], error)
 	Advise(ctx context.Context, address string, args *AdviseArgs, limit time.Duration) (wire.Reply[Advice], error)
+	// RecallAdvice asks the instance at the address for the advisor's answers that it has.
+	RecallAdvice(ctx context.Context, address string, limit time.Duration) (wire.Reply[[]RecalledAnswer], error)
 }
 
 // hostedCell implements cell by the host of a group.
@@ -68,3 +70,10 @@
 ) (wire.Reply[Advice], error) {
 	return group.CallAddress[AdviseArgs, Advice](ctx, c.Host, address, methodAdvise, args, limit)
 }
+
+// RecallAdvice asks the instance at the address for the advisor's answers that it has.
+func (c hostedCell) RecallAdvice(
+	ctx context.Context, address string, limit time.Duration,
+) (wire.Reply[[]RecalledAnswer], error) {
+	return group.CallAddress[Empty, []RecalledAnswer](ctx, c.Host, address, methodRecall, &Empty{}, limit)
+}
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -161,6 +161,7 @@
 		l.relays.checkLoop(l.ctx)
 	})
 	l.goroutines.Go(func() { l.scheduler.cell.AnnounceLeadership(announcedWithin) })
+	l.goroutines.Go(l.advice.recall)
 	l.goroutines.Go(l.decisionLoop)
 	l.goroutines.Go(l.cleanupLoop)
 }
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -43,6 +43,8 @@
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
 	adviceAnswersUsed prometheus.Counter
+	// adviceRecalled counts the answers that instances kept for this leader.
+	adviceRecalled prometheus.Counter
 
 	firstPlacement prometheus.Histogram
 	decide         prometheus.Histogram
@@ -117,6 +119,7 @@
 		}),
 		adviceAnswers:     counter("jasmineward_advice_answers_total", "Answers of the advisor to this leader."),
 		adviceAnswersUsed: counter("jasmineward_advice_answers_used_total", "Answers of the advisor that a task was started with."),
+		adviceRecalled:    counter("jasmineward_advice_recalled_total", "Answers of the advisor that instances kept for this leader."),
 		firstPlacement:    histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
 		decide: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "jasmineward_plan_seconds",
@@ -125,7 +128,7 @@
 		}),
 	}
 	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
-		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
+		m.adviceAnswers, m.adviceAnswersUsed, m.adviceRecalled, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -185,6 +185,10 @@
 	return wire.Reply[Advice]{}, context.DeadlineExceeded
 }
 
+func (c *modelCell) RecallAdvice(context.Context, string, time.Duration) (wire.Reply[[]RecalledAnswer], error) {
+	return wire.Reply[[]RecalledAnswer]{}, context.DeadlineExceeded
+}
+
 // changeLeader has the leader lose its lead, and the next one gain it after some time.
 func (c *modelCell) changeLeader(pause time.Duration) {
 	c.changing <- struct{}{}
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -205,7 +205,7 @@
 func (d *driver) hasUncertainRuns() bool {
 	for _, info := range d.runs {
 		switch info.state {
-		case runUncertain, runStopped, runAbsent:
+		case runUnknown, runUncertain, runStopped, runAbsent:
 			return true
 		case runStarted:
 			if !info.unlistedAt.IsZero() {
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -23,6 +23,7 @@
 	methodBeat      = rpcServiceName + ".Beat"
 	methodLeave     = rpcServiceName + ".Leave"
 	methodAdvise    = rpcServiceName + ".Advise"
+	methodRecall    = rpcServiceName + ".RecallAdvice"
 	methodOrder     = rpcServiceName + ".Order"
 
 	// serveTimeout bounds the handling of one call.
@@ -146,7 +147,7 @@
 func (c *rpcService) Advise(args *AdviseArgs, reply *wire.Reply[Advice]) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Limit)
 	defer cancel()
-	advice, err := c.scheduler.advisor.Advise(ctx, args.Step, args.Targets)
+	advice, err := c.scheduler.advise(ctx, args.Step, args.Targets)
 	if err != nil {
 		reply.Fault = wire.NewFault(wire.CodeBusy, err.Error())
 		return nil
@@ -155,6 +156,12 @@
 	return nil
 }
 
+// RecallAdvice returns the advisor's latest answers to calls of this instance.
+func (c *rpcService) RecallAdvice(_ *Empty, reply *wire.Reply[[]RecalledAnswer]) error {
+	reply.Value = c.scheduler.answers.list(c.scheduler.cell.Clock().Reading, maxRecallBytes)
+	return nil
+}
+
 // Order sends an order to a target on behalf of the leader, unless the leader has given it
 // up.
 func (c *rpcService) Order(args *OrderArgs, reply *wire.Reply[OrderReply]) error {
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -19,13 +19,15 @@
 type Scheduler struct {
 	host *group.Host
 	// cell is the part of the host that the leader and the relays use.
-	cell          cell
-	ledger        *graph.Ledger
-	targets       Targets
-	advisor       Advisor
-	timing        Timing
-	log           *logrus.Logger
-	metrics       *metrics
+	cell    cell
+	ledger  *graph.Ledger
+	targets Targets
+	advisor Advisor
+	timing  Timing
+	log     *logrus.Logger
+	metrics *metrics
+	// answers are the advisor's latest answers to calls of this instance.
+	answers       *answerStore
 	currentLeader atomic.Pointer[leader]
 	// configuredAt is when the configuration came into force here, in Unix
 	// milliseconds.
@@ -64,6 +66,7 @@
 		timing:  timing,
 		log:     log,
 		metrics: newMetrics(),
+		answers: &answerStore{},
 	}
 	s.metrics.addLedgerGauges(s.ledger)
 	s.AddGauge("jasmineward_targets_silent", "Targets that did not answer this leader's last call.", s.silentTargets)
--- a/internal/push/withhold.go
+++ b/internal/push/withhold.go
@@ -133,7 +133,8 @@
 }
 
 // refrain sends no start of a run that lacks a ticket. It returns true if the run is
-// certain never to start.
+// certain never to start. While instances may still tell its ticket, an inherited run is left
+// to the next listing.
 func (d *driver) refrain(key runKey, state runState) bool {
 	if state == runPlaced {
 		if !d.withhold(key) {
@@ -142,6 +143,9 @@
 		d.logWithheld(key, withheldUncertain, 0)
 		return true
 	}
+	if !d.leader.advice.recalled.Load() {
+		return false
+	}
 	d.mu.Lock()
 	first := d.runInfo(key).stopSentAt.IsZero()
 	d.mu.Unlock()
