--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -44,6 +44,8 @@
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
 	adviceAnswersUsed prometheus.Counter
+	// adviceRecalled counts the answers that instances kept for this leader.
+	adviceRecalled prometheus.Counter
 
 	firstPlacement prometheus.Histogram
 	decide         prometheus.Histogram
@@ -120,6 +122,7 @@
 		}),
 		adviceAnswers:     counter("jasmineward_advice_answers_total", "Answers of the advisor to this leader."),
 		adviceAnswersUsed: counter("jasmineward_advice_answers_used_total", "Answers of the advisor that a task was started with."),
+		adviceRecalled:    counter("jasmineward_advice_recalled_total", "Answers of the advisor that instances kept for this leader."),
 		firstPlacement:    histogram("jasmineward_first_start_seconds", "Time from admission to a job's first placement."),
 		decide: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "jasmineward_plan_seconds",
@@ -127,7 +130,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
