--- /dev/null
+++ b/pkg/rank/share.go
@@ -0,0 +1,60 @@
+package rank
+
+// Account is the part of a resource pool that an account uses and is entitled to.
+type Account struct {
+	// Weight is the weight of the account. One that is not positive counts as the lowest
+	// positive one of the pool's accounts.
+	Weight float64
+	// Used is the dominant share of the pool's resources that the account uses, and Calls
+	// the share of the calls.
+	Used  float64
+	Calls float64
+
+	entitled float64
+}
+
+// Entitle sets what each account of a pool is entitled to: its part of the sum of the
+// weights. Only accounts with work in the pool are to be given, so that unused shares are
+// lent to them.
+func Entitle(accounts []*Account) {
+	lowest := 0.0
+	for _, a := range accounts {
+		if a.Weight > 0 && (lowest == 0 || a.Weight < lowest) {
+			lowest = a.Weight
+		}
+	}
+	sum := 0.0
+	for _, a := range accounts {
+		if a.Weight <= 0 {
+			a.Weight = lowest
+		}
+		sum += a.Weight
+	}
+	for _, a := range accounts {
+		a.entitled = 1
+		if sum > 0 {
+			a.entitled = a.Weight / sum
+		}
+	}
+}
+
+// charge adds what an entry of the account takes if it is served, and reports whether the
+// account used what it is entitled to before. An account that is alone is never over.
+func (a *Account) charge(demand, calls float64) bool {
+	if a == nil {
+		return false
+	}
+	over := a.entitled < 1 && max(a.Used, a.Calls) >= a.entitled
+	a.Used += demand
+	a.Calls += calls
+	return over
+}
+
+// WeightedShare returns the key by which accounts are compared, lowest first. A weight
+// that is not positive counts as one.
+func WeightedShare(share, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	return share / weight
+}
