--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/jasmineward/jasmineward/pkg/quota"
@@ -430,6 +431,14 @@
 	return v.ledger.usageByClientAccount[name], v.ledger.config.clientAccounts[name]
 }
 
+// HasWeights reports whether a client account has a weight.
+func (v *View) HasWeights() bool {
+	if v.ledger.config == nil {
+		return false
+	}
+	return slices.ContainsFunc(v.ledger.config.config.ClientAccounts, func(a ClientAccount) bool { return a.Weight > 0 })
+}
+
 // CountEnded returns the number of jobs that ended before the given time.
 func (l *Ledger) CountEnded(before Millis) int {
 	l.mu.RLock()
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -41,6 +41,7 @@
 	request := AdviceRequest{
 		Step:  step.key,
 		Queue: *step.queue,
+		Tier:  step.tier,
 	}
 	if p.needsHold(step) {
 		p.nameTargetsToHold(&request, step, advice, hold)
@@ -53,17 +54,30 @@
 	}
 }
 
+// adviceOf returns the advisor's answers for the step, or nil.
+func (p *planner) adviceOf(step *pendingStep) *StepAdvice {
+	if !step.adviceKnown {
+		step.advice = p.input.Advice(step.key)
+		step.adviceKnown = true
+	}
+	return step.advice
+}
+
 // canRequestAdvice reports whether a request of the step's queue could be served
 // now, were it the next one.
 func (p *planner) canRequestAdvice(step *pendingStep) bool {
-	name := step.queue.Name
-	free, known := p.freeCallsByQueue[name]
+	return p.adviceRequestsByQueue[step.queue.Name] < p.freeCalls(step.queue)
+}
+
+// freeCalls returns how many calls of the queue can be made now.
+func (p *planner) freeCalls(queue *graph.Queue) int {
+	free, known := p.freeCallsByQueue[queue.Name]
 	if !known {
-		timing := step.queue.Advice
+		timing := queue.Advice
 		free = p.input.FreeAdviceCalls(timing.Base + minTargetsPerRequest*timing.Each)
-		p.freeCallsByQueue[name] = free
+		p.freeCallsByQueue[queue.Name] = free
 	}
-	return p.adviceRequestsByQueue[name] < free
+	return free
 }
 
 // nameTargets names approved targets with room whose tickets have expired, then
@@ -103,7 +117,12 @@
 
 // minTargets returns how many targets a request names if there are enough.
 func (p *planner) minTargets(request *AdviceRequest) int {
-	timing := request.Queue.Advice
+	return usualTargets(request.Queue.Advice)
+}
+
+// usualTargets returns how many targets a request with the given times names if there are
+// enough.
+func usualTargets(timing *graph.AdviceTiming) int {
 	if timing.Each <= 0 {
 		return maxTargetsPerRequest
 	}
--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -69,3 +69,38 @@
 		f.decide()
 	}
 }
+
+// BenchmarkDecideShortage measures one decision with 350 full targets and 3,000 waiting steps
+// of 40 accounts, with weights and without. Half of the steps need advice, and no call can be
+// made.
+func BenchmarkDecideShortage(b *testing.B) {
+	for _, weight := range []float64{0, 1} {
+		b.Run(fmt.Sprint("weight=", weight), func(b *testing.B) {
+			f := newFixture(350, quota.Resources{})
+			accounts := make([]graph.ClientAccount, 40)
+			for i := range accounts {
+				accounts[i].Name = fmt.Sprintf("a%02d", i)
+				accounts[i].Weight = weight * float64(1+i%5)
+			}
+			f.setAccounts(accounts...)
+			for i := range 140 {
+				f.submitAs(accounts[i%40].Name, "urgent", graph.JobID(fmt.Sprintf("r%04d", i)), newStep(10, 2000))
+			}
+			for range 8 {
+				f.commit(f.decide())
+			}
+			second := newStep(1, 1000)
+			second.DependsOn = []int{0}
+			for i := range 3000 {
+				f.now = f.now.Add(2 * time.Millisecond)
+				queue := []string{"advised", "batch", "urgent", "advised"}[i%4]
+				f.submitAs(accounts[i*7%40].Name, queue, graph.JobID(fmt.Sprintf("w%04d", i)), newStep(1+i%3, 3000), second)
+			}
+			f.advisorBusy = true
+			b.ReportAllocs()
+			for b.Loop() {
+				f.decide()
+			}
+		})
+	}
+}
--- a/internal/plan/load_test.go
+++ b/internal/plan/load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/rank"
 )
 
 // simulation plays a load against the planner in virtual time, with targets and
@@ -27,6 +28,10 @@
 	events    []simulatedEvent
 	completed map[graph.JobID]time.Time
 	started   map[graph.JobID]time.Time
+	// slowdown is the ratio of the mean duration of runs to their estimate, and ratios
+	// learns it.
+	slowdown float64
+	ratios   rank.Ratios[string]
 }
 
 // simulatedEvent is a state change at a time.
@@ -46,6 +51,7 @@
 		callers:   callers,
 		completed: map[graph.JobID]time.Time{},
 		started:   map[graph.JobID]time.Time{},
+		slowdown:  1,
 	}
 	s.expectedEnds = map[graph.TaskRef]time.Time{}
 	return s
@@ -92,14 +98,17 @@
 }
 
 func (s *simulation) startRun(placement graph.Placement) {
-	var runTime time.Duration
+	var runTime, estimate time.Duration
+	var queue string
 	s.ledger.View(s.now, func(v *graph.View) {
 		step := &v.Jobs()[placement.Task.Job].Spec.Steps[placement.Task.Step]
-		runTime = time.Duration(step.Estimate) * time.Millisecond
+		estimate = time.Duration(step.Estimate) * time.Millisecond
+		queue = v.Jobs()[placement.Task.Job].Queue
 	})
-	runTime = time.Duration(float64(runTime) * (0.7 + 0.6*s.random.Float64()))
+	runTime = time.Duration(float64(estimate) * s.slowdown * (0.7 + 0.6*s.random.Float64()))
 	s.expectedEnds[placement.Task] = s.now.Add(runTime)
 	s.after(runTime, func() {
+		s.ratios.Observe(queue, runTime, estimate)
 		result := s.ledger.Apply(graph.Command{
 			Time: graph.Millis(s.now.UnixMilli()),
 			Events: &graph.Events{Ends: []graph.RunEnd{{
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -30,7 +30,7 @@
 	needsAdvice := step.queue != nil && step.queue.Advice != nil
 	var advice *StepAdvice
 	if needsAdvice {
-		advice = p.input.Advice(step.key)
+		advice = p.adviceOf(step)
 	}
 	mayPlace := !needsAdvice || advice != nil
 	if mayPlace && p.placeTasks(step, advice) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/rank"
 )
 
 const (
@@ -86,6 +87,17 @@
 	Delayed func(graph.TaskRef) bool
 	// Speed returns the relative speed of the target; 1 is the default.
 	Speed func(graph.TargetID) float64
+	// OverRate reports whether the job is beyond the rate of its client account. Nil means
+	// that none is.
+	OverRate func(graph.JobID) bool
+	// DurationRatio returns by which factor the tasks of a queue take longer than
+	// estimated. Nil means that the estimates are right.
+	DurationRatio func(queue string) float64
+	// IdleSince has since when jobs wait with nothing of them running, as the previous
+	// decision found.
+	IdleSince map[graph.JobID]graph.Millis
+	// Turn counts the decisions.
+	Turn int
 }
 
 // AdviceRequest is a request for advice on the targets for a step.
@@ -93,6 +105,9 @@
 	Step    StepKey
 	Queue   graph.Queue
 	Targets []string
+	// Tier separates requests that go behind others whatever their queues: those of a
+	// higher tier are served after those of a lower one.
+	Tier int
 }
 
 // WaitReason explains why tasks of a runnable step are still waiting.
@@ -129,6 +144,11 @@
 	Holds map[StepKey]*Hold
 	// WaitReasons gives the reason for each step that still has waiting tasks.
 	WaitReasons map[StepKey]WaitReason
+	// PutBehind has those of these steps that were put behind others.
+	PutBehind map[StepKey]PutBehind
+	// IdleSince has since when jobs wait with nothing of them running. It is empty if no
+	// client account has a weight.
+	IdleSince map[graph.JobID]graph.Millis
 }
 
 // planner holds the state of one planning pass.
@@ -150,12 +170,18 @@
 	freeCallsByQueue      map[string]int
 	// largestByService caches the result of largestTarget.
 	largestByService map[string]quota.Resources
-	decision         Decision
-	placedTasks      int
+	// conditions determines the order, and pools has the services by name if client
+	// accounts have weights.
+	conditions rank.Conditions
+	pools      map[string]*pool
+	// ratioByQueue caches the duration ratios, and scratch is used by scratchFor.
+	ratioByQueue map[string]float64
+	scratch      []graph.Millis
+	decision     Decision
+	placedTasks  int
 }
 
-// Decide returns the placements to propose and the advice to request.
-func Decide(in Input) Decision {
+func newPlanner(in Input) *planner {
 	p := &planner{
 		input:                in,
 		byService:            map[string][]*targetState{},
@@ -166,21 +192,40 @@
 		adviceRequestsByQueue: map[string]int{},
 		freeCallsByQueue:      map[string]int{},
 		largestByService:      map[string]quota.Resources{},
+
+		conditions:   rank.Conditions{Weighted: in.View.HasWeights()},
+		pools:        map[string]*pool{},
+		ratioByQueue: map[string]float64{},
 	}
 	p.decision.Holds = map[StepKey]*Hold{}
 	p.decision.Tickets = map[graph.TaskRef]string{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
+	p.decision.PutBehind = map[StepKey]PutBehind{}
+	p.decision.IdleSince = map[graph.JobID]graph.Millis{}
+	return p
+}
+
+// Decide returns the placements to propose and the advice to request.
+func Decide(in Input) Decision {
+	p := newPlanner(in)
 	steps := p.pendingSteps()
 	if len(steps) == 0 {
 		return p.decision
 	}
 	p.loadTargets()
-	for _, step := range steps {
+	var ahead graph.JobID
+	for _, entry := range p.orderSteps(steps) {
+		step := entry.Item
 		if p.placedTasks >= maxPlacements {
 			p.decision.WaitReasons[step.key] = ReasonMoreUrgentWork
-			continue
+		} else {
+			p.placeStep(step)
+		}
+		if entry.Rule == rank.NotBehind {
+			ahead = step.key.Job
+		} else {
+			p.recordPutBehind(entry, ahead)
 		}
-		p.placeStep(step)
 	}
 	return p.decision
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 	now    time.Time
 	// advisorBusy means that no advice calls can be made now.
 	advisorBusy bool
+	// callsLeft is how many advice calls can be made now, or zero for freeCalls.
+	callsLeft int
 	// holds is the room held by the last decision.
 	holds map[StepKey]*Hold
 	// expectedEnds has the predicted ends of runs.
@@ -27,6 +30,12 @@
 	usable func(graph.TargetID) bool
 	// delayed is a task that is not to be placed yet.
 	delayed graph.TaskRef
+	// idleSince is from the last decision, and turn counts the decisions.
+	idleSince map[graph.JobID]graph.Millis
+	turn      int
+	// overRate and durationRatio are passed to the decisions.
+	overRate      func(graph.JobID) bool
+	durationRatio func(string) float64
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -113,9 +122,16 @@
 			Speed:  func(graph.TargetID) float64 { return 1 },
 
 			Delayed: func(ref graph.TaskRef) bool { return ref == f.delayed },
+
+			OverRate:      f.overRate,
+			DurationRatio: f.durationRatio,
+			IdleSince:     f.idleSince,
+			Turn:          f.turn,
 		})
 	})
 	f.holds = d.Holds
+	f.idleSince = d.IdleSince
+	f.turn++
 	return d
 }
 
@@ -126,7 +142,7 @@
 	if f.advisorBusy {
 		return 0
 	}
-	return freeCalls
+	return cmp.Or(f.callsLeft, freeCalls)
 }
 
 func (f *fixture) commit(d Decision) []graph.Refusal {
