--- a/internal/push/backlog.go
+++ b/internal/push/backlog.go
@@ -41,7 +41,8 @@
 }
 
 // assign removes the requests that the instances can serve now and returns them
-// with their instances.
+// with their instances. Requests of a lower tier go first; within one tier, the queues share
+// the time of the instances.
 func (b *adviceBacklog) assign(share *fairq.Share[string], slots *callSlots) []assignedCall {
 	var calls []assignedCall
 	for !slots.isEmpty() {
@@ -65,12 +66,21 @@
 	return calls
 }
 
-// queuesToServe returns the queues with requests, or the urgent ones of them.
+// queuesToServe returns the queues with requests, or the urgent ones of them. It leaves out
+// those whose next request goes behind that of another queue.
 func (b *adviceBacklog) queuesToServe(urgentOnly bool) []string {
 	var queues []string
+	lowest := 0
 	for _, name := range b.queues {
 		waiting := b.requests[name]
-		if len(waiting) > 0 && (!urgentOnly || waiting[0].Queue.Priority <= b.urgentPriority) {
+		if len(waiting) == 0 || urgentOnly && waiting[0].Queue.Priority > b.urgentPriority {
+			continue
+		}
+		tier := waiting[0].Tier
+		if len(queues) == 0 || tier < lowest {
+			queues, lowest = queues[:0], tier
+		}
+		if tier == lowest {
 			queues = append(queues, name)
 		}
 	}
--- a/internal/push/backlog_test.go
+++ b/internal/push/backlog_test.go
@@ -87,6 +87,24 @@
 	c.Assert(calls[1].request.Step, qt.Equals, requests[1].Step)
 }
 
+// Requests of work that goes behind all queues, such as work beyond its account's rate, must
+// not take the calls of a less urgent queue's work, and get what is left.
+func TestRequestsOfHigherTierAreServedLast(t *testing.T) {
+	c := qt.New(t)
+	var share fairq.Share[string]
+	over := adviceRequests("urgent", 0, 8, 20*time.Millisecond)
+	for i := range over {
+		over[i].Tier = 1
+	}
+	requests := slices.Concat(over, adviceRequests("batch", 2, 4, 150*time.Millisecond))
+	calls := newAdviceBacklog(requests, 0).assign(&share, slotsOf(6, 0, minDecisionPause))
+	c.Assert(countByQueue(calls), qt.DeepEquals, map[string]int{
+		"urgent": 2,
+		"batch":  4,
+	})
+	c.Assert(calls[0].request.Queue.Name, qt.Equals, "batch")
+}
+
 // After a change of the leader, many steps wait for advice, few instances have found
 // the new leader, and its decisions are long and far apart. The instances get as many
 // short calls as fill the time until the next decision, not one each.
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -71,12 +71,17 @@
 			Pending:         pending,
 			Delayed:         func(task graph.TaskRef) bool { return l.restarts.isDelayed(task, now) },
 			Speed:           l.rater.Speed,
+			DurationRatio:   l.durations.Of,
+			IdleSince:       l.idleSince,
+			Turn:            l.decisions,
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
-	l.waitLog.update(now, decision.WaitReasons)
+	l.waitLog.update(now, decision)
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
+	l.idleSince = decision.IdleSince
+	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
 	if len(decision.Groups) == 0 {
 		return
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -18,6 +18,7 @@
 	"github.com/jasmineward/jasmineward/pkg/blame"
 	"github.com/jasmineward/jasmineward/pkg/delay"
 	"github.com/jasmineward/jasmineward/pkg/raft"
+	"github.com/jasmineward/jasmineward/pkg/rank"
 	"github.com/jasmineward/jasmineward/pkg/rating"
 )
 
@@ -53,6 +54,12 @@
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
 	holds map[plan.StepKey]*plan.Hold
+	// idleSince is from the last decision, and decisions counts them. Only the decision
+	// loop uses them.
+	idleSince map[graph.JobID]graph.Millis
+	decisions int
+	// durations learns how long tasks take, by queue.
+	durations rank.Ratios[string]
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
@@ -104,7 +111,7 @@
 		moves:             newMoves(),
 		restarts:          newRestarts(),
 		doneTasks:         newDoneTasks(),
-		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics.waiting),
+		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics),
 		pendingPlacements: map[graph.TaskRef]graph.TargetID{},
 
 		uncertainPlacements: map[graph.TargetID]int{},
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -32,6 +32,7 @@
 	overdueOrders prometheus.Counter
 	lateEnds      prometheus.Counter
 	waiting       *prometheus.GaugeVec
+	putBehind     *prometheus.CounterVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
 	advice        prometheus.Histogram
@@ -99,6 +100,8 @@
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
 		}, []string{"reason"}),
+		putBehind: counterVec("jasmineward_steps_put_behind_total",
+			"Steps that this leader put behind others while resources or advice were short, by rule.", "rule"),
 		logSync:    histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
 		commit:     histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
 		advice:     histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
@@ -116,7 +119,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.putBehind, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -77,12 +77,29 @@
 func (d *driver) recordStart(key runKey) {
 	now := time.Now()
 	d.leader.rater.Started(plan.StepKeyOf(key.task), key.task.Index, d.target.ID, now)
-	if d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run).Checkpoint != "" {
+	assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
+	if assignment.Checkpoint != "" {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.runInfo(key).progress.Start(now)
+	info := d.runInfo(key)
+	info.progress.Start(now)
+	if !assignment.LongRunning && !assignment.BestEffort {
+		info.startedAt = now
+		info.estimate = time.Duration(assignment.Estimate) * time.Millisecond
+		info.queue = assignment.Queue
+	}
+}
+
+// recordDuration compares the duration of a run that is done with its estimate, if this
+// leader saw it start.
+func (d *driver) recordDuration(key runKey, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if info := d.runs[key]; info != nil && !info.startedAt.IsZero() {
+		d.leader.durations.Observe(info.queue, now.Sub(info.startedAt), info.estimate)
+	}
 }
 
 // recordEnd counts the end of a run and passes it to the rater.
@@ -91,7 +108,9 @@
 	d.leader.scheduler.metrics.runsEnded.WithLabelValues(e.Outcome.String()).Inc()
 	switch d.leader.committedOutcome(e) {
 	case graph.OutcomeDone:
-		d.leader.rater.Done(step, e.Task.Index, d.target.ID, time.Now())
+		now := time.Now()
+		d.leader.rater.Done(step, e.Task.Index, d.target.ID, now)
+		d.recordDuration(keyOf(e.Task, e.Run), now)
 	case graph.OutcomeFailed:
 		d.leader.rater.Failed(step, e.Task.Index, d.target.ID)
 	default:
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -93,6 +93,11 @@
 	// endNotAwaited is true for runs whose end no renewal needs to wait for,
 	// which are those of long-running and best-effort tasks.
 	endNotAwaited bool
+	// startedAt is when the target answered the start of a run that began without a
+	// checkpoint, estimate its estimated duration, and queue its queue.
+	startedAt time.Time
+	estimate  time.Duration
+	queue     string
 	// speculated is true once a second run of the task has been requested.
 	speculated bool
 }
--- a/internal/push/waitlog.go
+++ b/internal/push/waitlog.go
@@ -21,6 +21,10 @@
 	reason plan.WaitReason
 	since  time.Time
 	logged bool
+	// rule is why the step was put behind others, or empty, and behindSince since when.
+	rule        plan.WaitReason
+	behindSince time.Time
+	ruleLogged  bool
 }
 
 // waitLog logs steps that wait longer than waitLogDelay, once per reason. It is not
@@ -29,45 +33,85 @@
 	log *logrus.Entry
 	// gauge counts the steps of the last decision by reason.
 	gauge *prometheus.GaugeVec
-	steps map[plan.StepKey]*stepWait
+	// counter counts by rule how often a step was put behind others.
+	counter *prometheus.CounterVec
+	steps   map[plan.StepKey]*stepWait
 }
 
-func newWaitLog(log *logrus.Entry, gauge *prometheus.GaugeVec) *waitLog {
+func newWaitLog(log *logrus.Entry, m *metrics) *waitLog {
 	return &waitLog{
-		log:   log,
-		gauge: gauge,
-		steps: map[plan.StepKey]*stepWait{},
+		log:     log,
+		gauge:   m.waiting,
+		counter: m.putBehind,
+		steps:   map[plan.StepKey]*stepWait{},
 	}
 }
 
-// update processes the reasons of one decision, by waiting step.
-func (w *waitLog) update(now time.Time, reasons map[plan.StepKey]plan.WaitReason) {
-	w.count(reasons)
+// update processes the waiting steps of one decision.
+func (w *waitLog) update(now time.Time, d plan.Decision) {
+	w.count(d.WaitReasons)
 	for step := range w.steps {
-		if _, still := reasons[step]; !still {
+		if _, still := d.WaitReasons[step]; !still {
 			delete(w.steps, step)
 		}
 	}
-	for step, reason := range reasons {
+	for step, reason := range d.WaitReasons {
 		known := w.steps[step]
-		if known == nil || known.reason != reason {
-			w.steps[step] = &stepWait{
-				reason: reason,
-				since:  now,
-			}
-			continue
+		if known == nil {
+			known = &stepWait{}
+			w.steps[step] = known
 		}
-		if known.logged || now.Sub(known.since) < waitLogDelay {
-			continue
+		w.updateReason(now, step, known, reason)
+		w.updateRule(now, step, known, d.PutBehind[step])
+	}
+}
+
+// updateReason logs the reason for which the step waits once it has stayed the same for long
+// enough.
+func (w *waitLog) updateReason(now time.Time, step plan.StepKey, known *stepWait, reason plan.WaitReason) {
+	if known.reason != reason {
+		known.reason = reason
+		known.since = now
+		known.logged = false
+		return
+	}
+	if known.logged || now.Sub(known.since) < waitLogDelay {
+		return
+	}
+	known.logged = true
+	w.log.WithFields(logrus.Fields{
+		"job":        step.Job,
+		"occurrence": step.Occurrence,
+		"step":       step.Step,
+		"reason":     reason,
+	}).Info("sched: waits")
+}
+
+// updateRule counts the steps that were put behind others, and logs the rule, for whom and
+// since when once it has applied for long enough.
+func (w *waitLog) updateRule(now time.Time, step plan.StepKey, known *stepWait, behind plan.PutBehind) {
+	if known.rule != behind.Reason {
+		known.rule = behind.Reason
+		known.behindSince = now
+		known.ruleLogged = false
+		if behind.Reason != "" {
+			w.counter.WithLabelValues(string(behind.Reason)).Inc()
 		}
-		known.logged = true
-		w.log.WithFields(logrus.Fields{
-			"job":        step.Job,
-			"occurrence": step.Occurrence,
-			"step":       step.Step,
-			"reason":     reason,
-		}).Info("sched: waits")
+		return
+	}
+	if behind.Reason == "" || known.ruleLogged || now.Sub(known.behindSince) < waitLogDelay {
+		return
 	}
+	known.ruleLogged = true
+	w.log.WithFields(logrus.Fields{
+		"job":        step.Job,
+		"occurrence": step.Occurrence,
+		"step":       step.Step,
+		"rule":       behind.Reason,
+		"for":        behind.Job,
+		"since":      now.Sub(known.behindSince).Round(time.Millisecond),
+		"reason":     known.reason,
+	}).Info("sched: put behind")
 }
 
 // count sets the gauge to the number of steps that wait for each reason.
--- a/internal/push/waitlog_test.go
+++ b/internal/push/waitlog_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
+	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
@@ -27,7 +28,7 @@
 func TestHoldsAreLoggedWhenTheyChange(t *testing.T) {
 	c := qt.New(t)
 	logger, hook := logtest.NewNullLogger()
-	w := newWaitLog(logrus.NewEntry(logger), newMetrics().waiting)
+	w := newWaitLog(logrus.NewEntry(logger), newMetrics())
 	now := time.Unix(1000, 0)
 	step := plan.StepKey{Job: "j"}
 	first := map[plan.StepKey]*plan.Hold{step: heldOn(now, "a", "b")}
@@ -40,3 +41,51 @@
 	w.logHolds(now, first, nil)
 	c.Assert(hook.AllEntries(), qt.HasLen, 2)
 }
+
+// counted returns the sum of the counters of the given name.
+func counted(c *qt.C, m *metrics, name string) float64 {
+	families, err := m.registry.Gather()
+	c.Assert(err, qt.IsNil)
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			sum += metric.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
+// Who was put behind whom, since when and by which rule is counted once and logged once it
+// has lasted, not with each decision.
+func TestPutBehindIsLoggedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	logger, hook := logtest.NewNullLogger()
+	m := newMetrics()
+	w := newWaitLog(logrus.NewEntry(logger), m)
+	now := time.Unix(1000, 0)
+	step := plan.StepKey{Job: "j"}
+	decision := plan.Decision{
+		WaitReasons: map[plan.StepKey]plan.WaitReason{step: plan.ReasonNoCapacity},
+		PutBehind: map[plan.StepKey]plan.PutBehind{step: {
+			Reason: plan.ReasonOverShare,
+			Job:    "other",
+		}},
+	}
+	for i := range 5 {
+		w.update(now.Add(time.Duration(i)*100*time.Millisecond), decision)
+	}
+	c.Assert(hook.AllEntries(), qt.HasLen, 2)
+	c.Check(hook.AllEntries()[0].Message, qt.Equals, "sched: waits")
+	last := hook.LastEntry()
+	c.Check(last.Message, qt.Equals, "sched: put behind")
+	c.Check(last.Data["rule"], qt.Equals, plan.ReasonOverShare)
+	c.Check(last.Data["for"], qt.Equals, graph.JobID("other"))
+	c.Check(last.Data["since"], qt.Equals, 200*time.Millisecond)
+	c.Check(counted(c, m, "jasmineward_steps_put_behind_total"), qt.Equals, 1.0)
+	decision.PutBehind = nil
+	w.update(now.Add(time.Second), decision)
+	c.Check(hook.AllEntries(), qt.HasLen, 2)
+}
