--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -73,13 +73,19 @@
 			Pending:         pending,
 			Delayed:         func(task graph.TaskRef) bool { return l.restarts.isDelayed(task, now) },
 			Speed:           l.rater.Speed,
+			DurationRatio:   l.durations.Of,
+			OverRate:        l.admissions.isOverRate,
+			IdleSince:       l.idleSince,
+			Turn:            l.decisions,
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
-	l.waitLog.update(now, decision.WaitReasons)
+	l.waitLog.update(now, decision)
 	l.admissions.recordWaits(decision.WaitReasons, now)
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
+	l.idleSince = decision.IdleSince
+	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
 	if len(decision.Groups) == 0 || busy {
 		return
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -40,6 +40,7 @@
 	adviceWait     prometheus.Histogram
 	adviceBacklog  prometheus.Gauge
 	overload       *prometheus.CounterVec
+	putBehind      *prometheus.CounterVec
 	// adviceAnswers counts the advisor's answers, and adviceAnswersUsed those on
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
@@ -112,6 +113,8 @@
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
 		}, []string{"reason"}),
+		putBehind: counterVec("jasmineward_steps_put_behind_total",
+			"Steps that this leader put behind others while resources or advice were short, by rule.", "rule"),
 		logSync:    histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
 		commit:     histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
 		advice:     histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
@@ -130,7 +133,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled, m.putBehind,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
