--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -102,19 +102,18 @@
 	return running
 }
 
-// recordIdle records since when the job waits with nothing of it running. Of a job that was
+// idleSince returns since when the job waits with nothing of it running. Of a job that was
 // never started the ledger tells; of others the decision before does.
-func (p *planner) recordIdle(job *graph.Job) {
-	since := p.input.View.Now
+func (p *planner) idleSince(job *graph.Job) graph.Millis {
 	if !job.Started {
-		since = job.Admitted
-		if len(job.Occurrences) > 0 {
-			since = max(since, job.Occurrences[0].Due)
-		}
-	} else if known, found := p.input.IdleSince[job.ID]; found {
-		since = known
+		return max(job.Admitted, job.Occurrences[0].Due)
+	}
+	since, known := p.input.IdleSince[job.ID]
+	if !known {
+		since = p.input.View.Now
 	}
 	p.decision.IdleSince[job.ID] = since
+	return since
 }
 
 // orderSteps returns the steps with the most urgent one in front.
@@ -132,6 +131,8 @@
 		p.conditions.Short = adviceShort || p.areResourcesShort()
 		if p.conditions.Short {
 			p.addShares(entries)
+			p.decision.WaitReasons = make(map[StepKey]WaitReason, len(steps))
+			p.decision.PutBehind = make(map[StepKey]PutBehind, len(steps))
 		}
 		if adviceShort {
 			p.addCalls(entries)
@@ -257,8 +258,8 @@
 		pool := p.poolOf(p.input.View.ServiceOf(step.job))
 		entry.Account = &p.accountOf(step.job).share
 		entry.Demand = step.spec.Reservation().Times(step.waiting).DominantShare(pool.capacity)
-		if since, idle := p.decision.IdleSince[step.job.ID]; idle {
-			entry.Waiting = milliseconds(p.input.View.Now - since)
+		if step.idle {
+			entry.Waiting = milliseconds(p.input.View.Now - step.idleSince)
 			entry.Starving = entry.Waiting >= starvingAfter && p.mayStarve(step, pool)
 		}
 	}
@@ -311,6 +312,9 @@
 // waits. Ahead is the last job that was not put behind.
 func (p *planner) recordPutBehind(entry *rank.Entry[*pendingStep], ahead graph.JobID) {
 	if _, waits := p.decision.WaitReasons[entry.Item.key]; waits && entry.Rule != rank.NotBehind {
+		if p.decision.PutBehind == nil {
+			p.decision.PutBehind = map[StepKey]PutBehind{}
+		}
 		p.decision.PutBehind[entry.Item.key] = PutBehind{
 			Reason: WaitReason(entry.Rule),
 			Job:    ahead,
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -93,8 +93,8 @@
 	// DurationRatio returns by which factor the tasks of a queue take longer than
 	// estimated. Nil means that the estimates are right.
 	DurationRatio func(queue string) float64
-	// IdleSince has since when jobs wait with nothing of them running, as the previous
-	// decision found.
+	// IdleSince has since when jobs that were started before wait with nothing of them
+	// running, as the previous decision found.
 	IdleSince map[graph.JobID]graph.Millis
 	// Turn counts the decisions.
 	Turn int
@@ -146,8 +146,8 @@
 	WaitReasons map[StepKey]WaitReason
 	// PutBehind has those of these steps that were put behind others.
 	PutBehind map[StepKey]PutBehind
-	// IdleSince has since when jobs wait with nothing of them running. It is empty if no
-	// client account has a weight.
+	// IdleSince has since when jobs that were started before wait with nothing of them
+	// running. It is empty if no client account has a weight.
 	IdleSince map[graph.JobID]graph.Millis
 }
 
@@ -200,7 +200,6 @@
 	p.decision.Holds = map[StepKey]*Hold{}
 	p.decision.Tickets = map[graph.TaskRef]string{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
-	p.decision.PutBehind = map[StepKey]PutBehind{}
 	p.decision.IdleSince = map[graph.JobID]graph.Millis{}
 	return p
 }
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -20,6 +20,9 @@
 	priority int
 	// work is what the order depends on.
 	work rank.Work
+	// idle is set if nothing of the job runs, and idleSince is since when.
+	idle      bool
+	idleSince graph.Millis
 	// tier is set by orderSteps, see rank.Entry.
 	tier int
 	// advice caches the advisor's answers, see planner.adviceOf.
@@ -45,7 +48,11 @@
 		first := len(steps)
 		steps = p.appendStepsOf(steps, job)
 		if p.conditions.Weighted && !running && len(steps) > first {
-			p.recordIdle(job)
+			since := p.idleSince(job)
+			for _, step := range steps[first:] {
+				step.idle = true
+				step.idleSince = since
+			}
 		}
 	}
 	return steps
