--- a/pkg/rank/share.go
+++ b/pkg/rank/share.go
@@ -1,5 +1,7 @@
 package rank
 
+import "cmp"
+
 // Account is the part of a resource pool that an account uses and is entitled to.
 type Account struct {
 	// Weight is the weight of the account. One that is not positive counts as the lowest
@@ -10,7 +12,9 @@
 	Used  float64
 	Calls float64
 
-	entitled float64
+	// level is the weighted share at which the account uses what it is entitled to. It is
+	// zero if the account is alone.
+	level float64
 }
 
 // Entitle sets what each account of a pool is entitled to: its part of the sum of the
@@ -26,14 +30,14 @@
 	sum := 0.0
 	for _, a := range accounts {
 		if a.Weight <= 0 {
-			a.Weight = lowest
+			a.Weight = cmp.Or(lowest, 1)
 		}
 		sum += a.Weight
 	}
 	for _, a := range accounts {
-		a.entitled = 1
-		if sum > 0 {
-			a.entitled = a.Weight / sum
+		a.level = 0
+		if len(accounts) > 1 {
+			a.level = WeightedShare(1, sum)
 		}
 	}
 }
@@ -44,14 +48,14 @@
 	if a == nil {
 		return false
 	}
-	over := a.entitled < 1 && max(a.Used, a.Calls) >= a.entitled
+	over := a.level > 0 && WeightedShare(max(a.Used, a.Calls), a.Weight) >= a.level
 	a.Used += demand
 	a.Calls += calls
 	return over
 }
 
-// WeightedShare returns the key by which accounts are compared, lowest first. A weight
-// that is not positive counts as one.
+// WeightedShare returns the key by which accounts are compared, lowest first: the share
+// divided by the weight. A weight that is not positive counts as one.
 func WeightedShare(share, weight float64) float64 {
 	if weight <= 0 {
 		weight = 1
--- a/pkg/sched/share.go
+++ b/pkg/sched/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasmineward/jasmineward/pkg/quota"
+	"github.com/jasmineward/jasmineward/pkg/rank"
 )
 
 const (
@@ -47,11 +48,7 @@
 // weightedShare returns the key by which teams are served, lowest first: the
 // mean of the current and the average share, divided by the weight.
 func (t *teamRecord) weightedShare() float64 {
-	weight := t.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	return (t.share.average + t.share.current) / 2 / weight
+	return rank.WeightedShare((t.share.average+t.share.current)/2, t.Weight)
 }
 
 func (t *teamRecord) addUsage(now time.Time, total, change quota.Resources) {
