--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -37,6 +37,8 @@
 // PutBehind says why a waiting step was put behind others.
 type PutBehind struct {
 	Reason WaitReason
+	// Account is the step's client account.
+	Account string
 	// Job is the last job in front of it that was not put behind, or empty.
 	Job graph.JobID
 }
@@ -281,19 +283,18 @@
 // addCalls adds to the entries and their accounts which part of the calls to the advisor
 // they need or have.
 func (p *planner) addCalls(entries []rank.Entry[*pendingStep]) {
-	calls := 0
+	inFlight, free := 0, 0
 	for i := range entries {
-		if step := entries[i].Item; step.queue != nil && step.queue.Advice != nil {
-			if advice := p.adviceOf(step); advice != nil && advice.InFlight {
-				calls++
-			}
+		step := entries[i].Item
+		if step.queue == nil || step.queue.Advice == nil {
+			continue
+		}
+		free = max(free, p.freeCalls(step.queue))
+		if advice := p.adviceOf(step); advice != nil && advice.InFlight {
+			inFlight++
 		}
 	}
-	free := 0
-	for _, n := range p.freeCallsByQueue {
-		free = max(free, n)
-	}
-	calls += free
+	calls := inFlight + free
 	if calls == 0 {
 		return
 	}
@@ -316,8 +317,9 @@
 			p.decision.PutBehind = map[StepKey]PutBehind{}
 		}
 		p.decision.PutBehind[entry.Item.key] = PutBehind{
-			Reason: WaitReason(entry.Rule),
-			Job:    ahead,
+			Reason:  WaitReason(entry.Rule),
+			Account: entry.Item.job.ClientAccount,
+			Job:     ahead,
 		}
 	}
 }
--- a/internal/plan/order_test.go
+++ b/internal/plan/order_test.go
@@ -195,8 +195,9 @@
 	d := f.decide()
 	c.Check(jobsInOrder(d), qt.DeepEquals, []graph.JobID{"new"})
 	c.Check(d.PutBehind, qt.DeepEquals, map[StepKey]PutBehind{{Job: "old"}: {
-		Reason: ReasonWillBeLate,
-		Job:    "new",
+		Reason:  ReasonWillBeLate,
+		Account: "a",
+		Job:     "new",
 	}})
 	f.now = f.now.Add(20 * time.Second)
 	f.submitAs("a", "batch", "next", newStep(1, 8000))
@@ -234,8 +235,9 @@
 	d := f.decide()
 	c.Check(jobsInOrder(d), qt.DeepEquals, []graph.JobID{"urgent", "batch", "large"})
 	c.Check(d.PutBehind[StepKey{Job: "over"}], qt.Equals, PutBehind{
-		Reason: ReasonOverRate,
-		Job:    "large",
+		Reason:  ReasonOverRate,
+		Account: "a",
+		Job:     "large",
 	})
 	c.Check(d.WaitReasons[StepKey{Job: "over"}], qt.Equals, ReasonNoCapacity)
 }
--- a/internal/push/waitlog_test.go
+++ b/internal/push/waitlog_test.go
@@ -70,8 +70,9 @@
 	decision := plan.Decision{
 		WaitReasons: map[plan.StepKey]plan.WaitReason{step: plan.ReasonNoCapacity},
 		PutBehind: map[plan.StepKey]plan.PutBehind{step: {
-			Reason: plan.ReasonOverShare,
-			Job:    "other",
+			Reason:  plan.ReasonOverShare,
+			Account: "sender",
+			Job:     "other",
 		}},
 	}
 	for i := range 5 {
@@ -82,6 +83,7 @@
 	last := hook.LastEntry()
 	c.Check(last.Message, qt.Equals, "sched: put behind")
 	c.Check(last.Data["rule"], qt.Equals, plan.ReasonOverShare)
+	c.Check(last.Data["account"], qt.Equals, "sender")
 	c.Check(last.Data["for"], qt.Equals, graph.JobID("other"))
 	c.Check(last.Data["since"], qt.Equals, 200*time.Millisecond)
 	c.Check(counted(c, m, "jasmineward_steps_put_behind_total"), qt.Equals, 1.0)
--- a/pkg/rank/share.go
+++ b/pkg/rank/share.go
@@ -2,6 +2,10 @@
 
 import "cmp"
 
+// shareTolerance is the relative error by which an account's use may seem to be below its
+// share. The sums of which both are made depend on their order.
+const shareTolerance = 1e-9
+
 // Account is the part of a resource pool that an account uses and is entitled to.
 type Account struct {
 	// Weight is the weight of the account. One that is not positive counts as the lowest
@@ -37,7 +41,7 @@
 	for _, a := range accounts {
 		a.level = 0
 		if len(accounts) > 1 {
-			a.level = WeightedShare(1, sum)
+			a.level = WeightedShare(1-shareTolerance, sum)
 		}
 	}
 }
