--- a/internal/push/model_fleet_test.go
+++ b/internal/push/model_fleet_test.go
@@ -39,7 +39,11 @@
 	lateAcrossLives bool
 	// isLate is true while an order is carried out late. The rules with a time bound do
 	// not hold for it.
-	isLate   bool
+	isLate bool
+	// checkTickets is true if starts need tickets, and refusedTickets counts those refused.
+	checkTickets   bool
+	refusedTickets int
+
 	broken   []string
 	starts   int
 	messages int
@@ -299,6 +303,9 @@
 		return ErrRefused
 	}
 	t.extend(order.Deadline)
+	if f.checkTickets && !f.acceptsTicket(t, order) {
+		return ErrRefused
+	}
 	f.starts++
 	f.checkStart(t, order)
 	job := f.jobs[order.Task.Job]
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -56,6 +56,10 @@
 	ends    chan struct{}
 	term    uint64
 	index   uint64
+	// advised is true if the leader and the relay call the advisor, and slow is by how much
+	// longer commits take now.
+	advised bool
+	slow    time.Duration
 	// thawed is when the relay goes on.
 	thawed time.Time
 	// changing is a semaphore that is held while the leader changes. A wait for a mutex
@@ -73,8 +77,8 @@
 // live to see committed may be applied all the same, but only before the next leader.
 func (c *modelCell) Propose(ctx context.Context, data []byte) (any, error) {
 	c.mu.Lock()
-	ends, leading := c.ends, c.leading
-	wait := 5*time.Millisecond + time.Duration(c.random.Int64N(int64(15*time.Millisecond)))
+	ends, leading, slow := c.ends, c.leading, c.slow
+	wait := slow + 5*time.Millisecond + time.Duration(c.random.Int64N(int64(15*time.Millisecond)))
 	c.mu.Unlock()
 	if !leading {
 		return nil, raft.ErrNotLeader
@@ -122,7 +126,12 @@
 	}}
 }
 
-func (c *modelCell) LiveAddresses(time.Duration) []string { return nil }
+func (c *modelCell) LiveAddresses(time.Duration) []string {
+	if !c.advised {
+		return nil
+	}
+	return []string{c.Address(), modelRelay}
+}
 
 // waitThawed waits until the relay goes on, as what is sent to it does in its sockets.
 func (c *modelCell) waitThawed() {
@@ -181,14 +190,6 @@
 	}
 }
 
-func (c *modelCell) Advise(context.Context, string, *AdviseArgs, time.Duration) (wire.Reply[Advice], error) {
-	return wire.Reply[Advice]{}, context.DeadlineExceeded
-}
-
-func (c *modelCell) RecallAdvice(context.Context, string, time.Duration) (wire.Reply[[]RecalledAnswer], error) {
-	return wire.Reply[[]RecalledAnswer]{}, context.DeadlineExceeded
-}
-
 // changeLeader has the leader lose its lead, and the next one gain it after some time.
 func (c *modelCell) changeLeader(pause time.Duration) {
 	c.changing <- struct{}{}
@@ -217,6 +218,8 @@
 	stop   chan struct{}
 	tasks  sync.WaitGroup
 	script []string
+	// troubles are further troubles.
+	troubles []func()
 	// lasting counts the jobs whose tasks last.
 	lasting int
 }
@@ -245,9 +248,9 @@
 	timing := DefaultTiming()
 	timing.MaxLease = modelMaxLease
 	timing.StopSettleTime = 2*modelStopTime + 100*time.Millisecond
-	c.scheduler = newScheduler(timing, fleet, nil, log)
+	c.scheduler = newScheduler(timing, fleet, fleet, log)
 	c.scheduler.cell = c
-	c.relay = newScheduler(timing, fleet, nil, log)
+	c.relay = newScheduler(timing, fleet, fleet, log)
 	c.relay.cell = c
 	m := &model{
 		t:      t,
@@ -569,6 +572,9 @@
 		random := rand.New(rand.NewPCG(m.random.Uint64(), uint64(i)))
 		troubles.Go(func() { m.makeTrouble(random) })
 	}
+	for _, trouble := range m.troubles {
+		troubles.Go(trouble)
+	}
 	troubles.Go(m.submitJobs)
 	troubles.Wait()
 	m.set(func() {
@@ -659,32 +665,33 @@
 //
 //	go test ./internal/push -run TestModel$ -model-seeds 1000 -model-first 100
 func TestModel(t *testing.T) {
-	playModels(t, *modelFirst, *modelSeeds, false)
+	playModels(t, *modelFirst, *modelSeeds, func(*model) {})
 }
 
 // A start that was meant for one life of a target may be read by the next one and carried out
 // seconds later. It extends the lease of all that runs there beyond what the leader counts, and
 // a task runs twice if the target goes silent then.
 func TestModelWithLateOrdersOfOlderLives(t *testing.T) {
-	playModels(t, *modelFirst, *modelSeeds, true)
+	playModels(t, *modelFirst, *modelSeeds, func(m *model) { m.fleet.lateAcrossLives = true })
 }
 
-// playModels plays a row of seeds.
-func playModels(t *testing.T, first uint64, seeds int, lateAcrossLives bool) {
-	starts, messages := 0, 0
+// playModels plays a row of seeds, each after a setup.
+func playModels(t *testing.T, first uint64, seeds int, setUp func(*model)) {
+	starts, messages, refused := 0, 0, 0
 	for seed := first; seed < first+uint64(seeds); seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := newModel(t, seed)
-				m.fleet.lateAcrossLives = lateAcrossLives
+				setUp(m)
 				broken := m.play()
 				m.set(func() {
 					starts += m.fleet.starts
 					messages += m.fleet.messages
+					refused += m.fleet.refusedTickets
 				})
 				qt.New(t).Check(broken, qt.HasLen, 0, qt.Commentf("%s", strings.Join(m.script, "\n")))
 			})
 		})
 	}
-	t.Logf("%d seeds, %d starts, %d messages", seeds, starts, messages)
+	t.Logf("%d seeds, %d starts, %d messages, %d tickets refused", seeds, starts, messages, refused)
 }
