--- a/internal/push/withhold.go
+++ b/internal/push/withhold.go
@@ -1,6 +1,8 @@
 package push
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,17 +44,28 @@
 // started, all at once, and has their advice requested again.
 func (l *leader) withholdStarts(placements []graph.Placement, tickets map[graph.TaskRef]plan.Ticket, now time.Time) {
 	var ends []graph.RunEnd
+	tasks := map[plan.StepKey][]string{}
 	for _, placement := range placements {
 		d, key := l.driver(placement.Target), keyOf(placement.Task, placement.Run)
 		if d == nil || !d.withhold(key) {
 			continue
 		}
-		d.logWithheld(key, withheldCommit, now.Sub(tickets[key.task].ExpiresAt))
+		step := plan.StepKeyOf(key.task)
+		tasks[step] = append(tasks[step], fmt.Sprintf("%s@%s%+dms", key.task.RunName(key.run), placement.Target.ID,
+			now.Sub(tickets[key.task].ExpiresAt).Milliseconds()))
+		l.scheduler.metrics.withheld.WithLabelValues(withheldCommit).Inc()
 		ends = append(ends, d.endOf(key, graph.OutcomeNeverStarted))
 	}
 	if len(ends) == 0 {
 		return
 	}
+	for step, names := range tasks {
+		l.log.WithFields(logrus.Fields{
+			"job":    step.Job,
+			"tasks":  strings.Join(names, " "),
+			"reason": withheldCommit,
+		}).Warn("sched: starts withheld")
+	}
 	l.commitNeverStarted(ends)
 }
 
