--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -144,6 +144,11 @@
 	s.metrics.addGauge(name, help, value)
 }
 
+// AddCollector registers a collector.
+func (s *Scheduler) AddCollector(c prometheus.Collector) {
+	s.metrics.registry.MustRegister(c)
+}
+
 // observeSince records the seconds since start.
 func observeSince(h prometheus.Histogram, start time.Time) {
 	h.Observe(time.Since(start).Seconds())
