--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -13,6 +13,10 @@
 	"github.com/sirupsen/logrus"
 )
 
+// minIntakeBodies is how many of the largest bodies limits.intake-bytes must hold. One
+// that is being decoded takes twice its size, and one key may use half of the budget.
+const minIntakeBodies = 4
+
 // FieldError describes an invalid setting.
 type FieldError struct {
 	Line    int
@@ -253,6 +257,14 @@
 	c.checkDuration("limits.header-time", l.HeaderTime, 100*time.Millisecond, time.Minute)
 	c.checkDuration("limits.body-time", l.BodyTime, 100*time.Millisecond, 10*time.Minute)
 	c.checkDuration("limits.idle-time", l.IdleTime, time.Second, time.Hour)
+	c.checkDuration("limits.stall-time", l.StallTime, 100*time.Millisecond, time.Minute)
+	c.checkDuration("limits.write-time", l.WriteTime, 100*time.Millisecond, 10*time.Minute)
+	c.checkRange("limits.intake-bytes", l.IntakeBytes, 0, 1<<40)
+	if l.IntakeBytes > 0 && l.IntakeBytes < minIntakeBodies*l.BodyBytes {
+		c.addError("limits.intake-bytes", "is less than %d times body-bytes", minIntakeBodies)
+	}
+	c.checkRange("limits.address-percent", l.AddressPercent, 0, 100)
+	c.checkRange("limits.key-percent", l.KeyPercent, 0, 100)
 }
 
 func (c *checker) checkRange(key string, value, minimum, maximum int64) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,6 +81,13 @@
 	HeaderTime  Duration `toml:"header-time"`
 	BodyTime    Duration `toml:"body-time"`
 	IdleTime    Duration `toml:"idle-time"`
+	StallTime   Duration `toml:"stall-time"`
+	WriteTime   Duration `toml:"write-time"`
+	// IntakeBytes, AddressPercent and KeyPercent bound the bodies that are received
+	// at the same time. Zero means the default.
+	IntakeBytes    int64 `toml:"intake-bytes"`
+	AddressPercent int64 `toml:"address-percent"`
+	KeyPercent     int64 `toml:"key-percent"`
 }
 
 // Logging configures the log.
@@ -116,6 +123,8 @@
 			HeaderTime:  Duration(limits.HeaderTimeout),
 			BodyTime:    Duration(limits.BodyTimeout),
 			IdleTime:    Duration(limits.IdleTimeout),
+			StallTime:   Duration(limits.StallTimeout),
+			WriteTime:   Duration(limits.WriteTimeout),
 		},
 		Log: Logging{
 			Level:  "info",
@@ -196,5 +205,10 @@
 	limits.HeaderTimeout = time.Duration(s.Limits.HeaderTime)
 	limits.BodyTimeout = time.Duration(s.Limits.BodyTime)
 	limits.IdleTimeout = time.Duration(s.Limits.IdleTime)
+	limits.StallTimeout = time.Duration(s.Limits.StallTime)
+	limits.WriteTimeout = time.Duration(s.Limits.WriteTime)
+	limits.IntakeBytes = s.Limits.IntakeBytes
+	limits.AddressPercent = s.Limits.AddressPercent
+	limits.KeyPercent = s.Limits.KeyPercent
 	return limits
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,9 @@
 
 func (d *Daemon) openListeners() error {
 	limits := d.settings.HTTPLimits()
+	in := entry.NewIntake(limits, d.log)
+	d.node.Metrics().Register(in.Collector())
+	withIntake := entry.WithIntake(in)
 	targetToken, err := readToken(d.settings.Targets.TokenFile)
 	if err != nil {
 		return err
@@ -68,19 +71,20 @@
 		return err
 	}
 	if d.operators, err = d.listen("operators", d.settings.Operators,
-		entry.NewOperatorsHandler(d.node, limits, operatorToken), limits); err != nil {
+		entry.NewOperatorsHandler(d.node, limits, operatorToken, withIntake), limits, withIntake); err != nil {
 		return err
 	}
 	if d.targets, err = d.listen("targets", d.settings.Targets,
-		entry.NewTargetsHandler(d.node, limits, targetToken), limits); err != nil {
+		entry.NewTargetsHandler(d.node, limits, targetToken, withIntake), limits, withIntake); err != nil {
 		return err
 	}
-	d.callers, err = d.listen("callers", d.settings.Callers, entry.NewCallersHandler(d.node, limits), limits)
+	d.callers, err = d.listen("callers", d.settings.Callers,
+		entry.NewCallersHandler(d.node, limits, withIntake), limits, withIntake)
 	return err
 }
 
 func (d *Daemon) listen(
-	name string, endpoint config.Endpoint, handler http.Handler, limits entry.Limits,
+	name string, endpoint config.Endpoint, handler http.Handler, limits entry.Limits, opts ...entry.Option,
 ) (*entry.Listener, error) {
 	var tlsConfig *tls.Config
 	if endpoint.Certificate != "" {
@@ -90,7 +94,7 @@
 		}
 		tlsConfig = certs.ServerConfig()
 	}
-	return entry.Listen(name, endpoint.Listen, handler, limits, tlsConfig, d.log, d.node.Metrics())
+	return entry.Listen(name, endpoint.Listen, handler, limits, tlsConfig, d.log, d.node.Metrics(), opts...)
 }
 
 func readToken(path string) (string, error) {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -68,8 +68,8 @@
 }
 
 // NewCallersHandler returns the handler of the API on which jobs are submitted.
-func NewCallersHandler(backend Backend, limits Limits) http.Handler {
-	c := &callersHandler{baseHandler: newBaseHandler("callers", backend, limits)}
+func NewCallersHandler(backend Backend, limits Limits, opts ...Option) http.Handler {
+	c := &callersHandler{baseHandler: newBaseHandler("callers", backend, limits, opts)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/jobs", c.submit)
 	mux.HandleFunc("GET /v1/jobs", c.list)
@@ -123,11 +123,21 @@
 		writeFault(w, fault)
 		return
 	}
+	received, fault := c.receive(w, r, bearerToken(r))
+	if fault != nil {
+		writeFault(w, fault)
+		return
+	}
+	defer received.Release()
 	var body JobRequest
-	if fault := c.decodeBody(w, r, &body); fault != nil {
+	if fault := decodeJSON(received.Data, &body); fault != nil {
 		writeFault(w, fault)
 		return
 	}
+	// A small job may wait for its outcome for long, which the limit of requests bounds.
+	// A large one stays counted while it is in a call to the leader.
+	received.Data = nil
+	received.ReleaseSmall()
 	sender, fault := c.authenticate(r, body.Service)
 	if fault != nil {
 		writeFault(w, fault)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,9 @@
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/net/netutil"
 
+	"github.com/jasmineward/jasmineward/internal/accept"
+	"github.com/jasmineward/jasmineward/internal/intake"
 	"github.com/jasmineward/jasmineward/internal/meter"
 	"github.com/jasmineward/jasmineward/internal/note"
 	"github.com/jasmineward/jasmineward/internal/wire"
@@ -53,6 +54,17 @@
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
+	// StallTimeout is the longest time without a byte of a body, and WriteTimeout the
+	// time in which a client must take each piece of a response.
+	StallTimeout time.Duration
+	WriteTimeout time.Duration
+	// IntakeBytes bounds the bodies that one listener receives at the same time. Zero
+	// derives it from the memory limit of the runtime.
+	IntakeBytes int64
+	// AddressPercent and KeyPercent are the parts of IntakeBytes that the large bodies
+	// of one client address and of one API key may use. Zero means the default.
+	AddressPercent int64
+	KeyPercent     int64
 	// ResponseTimeout bounds the time to respond, including the wait that the
 	// client asks for.
 	ResponseTimeout time.Duration
@@ -68,6 +80,8 @@
 		HeaderTimeout:   5 * time.Second,
 		BodyTimeout:     10 * time.Second,
 		IdleTimeout:     60 * time.Second,
+		StallTimeout:    intake.DefaultTiming().Stall,
+		WriteTimeout:    intake.DefaultConnLimits().Write,
 		ResponseTimeout: 75 * time.Second,
 	}
 }
@@ -85,19 +99,28 @@
 // configuration selects plain HTTP.
 func Listen(
 	name, address string, handler http.Handler, limits Limits, tlsConfig *tls.Config,
-	log *logrus.Logger, m *meter.Metrics,
+	log *logrus.Logger, m *meter.Metrics, opts ...Option,
 ) (*Listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	limited := netutil.LimitListener(countingListener{
-		Listener: socket,
+	connLimits := intake.DefaultConnLimits()
+	connLimits.Write = limits.WriteTimeout
+	var counted net.Listener = countingListener{
+		Listener: intake.NewListener(socket, connLimits),
 		metrics:  m,
-	}, limits.MaxConnections)
+	}
 	if tlsConfig != nil {
-		limited = tls.NewListener(limited, tlsConfig)
+		counted = tls.NewListener(counted, tlsConfig)
 	}
+	in := newOptions(opts).intake
+	limited := accept.NewListener(counted, limits.MaxConnections, accept.WithReclaim(func(n int) int {
+		if in == nil {
+			return 0
+		}
+		return in.reclaim(name, n)
+	}))
 	l := &Listener{
 		name:   name,
 		socket: socket,
@@ -109,6 +132,7 @@
 			IdleTimeout:       limits.IdleTimeout,
 			WriteTimeout:      limits.ResponseTimeout + limits.BodyTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
+			ConnState:         limited.ConnState,
 		},
 	}
 	go l.serve(limited)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -54,8 +54,8 @@
 
 // NewOperatorsHandler returns the handler of the operators' API. It also serves
 // /healthz, /readyz and /metrics to the platform, which needs no token for them.
-func NewOperatorsHandler(backend Backend, limits Limits, token string) http.Handler {
-	o := &operatorsHandler{baseHandler: newBaseHandler("operators", backend, limits)}
+func NewOperatorsHandler(backend Backend, limits Limits, token string, opts ...Option) http.Handler {
+	o := &operatorsHandler{baseHandler: newBaseHandler("operators", backend, limits, opts)}
 	api := http.NewServeMux()
 	api.HandleFunc("POST /v1/notes", o.applyNote)
 	api.HandleFunc("GET /v1/notes", o.activeConfig)
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -42,6 +42,8 @@
 		return http.StatusConflict
 	case wire.CodeSessionGone:
 		return http.StatusGone
+	case wire.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case wire.CodeInvalidNote:
 		return http.StatusUnprocessableEntity
 	case wire.CodeQueueFull, wire.CodeOverload, wire.CodeBusy:
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"github.com/jasmineward/jasmineward/internal/intake"
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
@@ -22,14 +20,16 @@
 	listener string
 	backend  Backend
 	limits   Limits
+	reader   *intake.Reader
 	inFlight chan struct{}
 }
 
-func newBaseHandler(listener string, backend Backend, limits Limits) *baseHandler {
+func newBaseHandler(listener string, backend Backend, limits Limits, opts []Option) *baseHandler {
 	return &baseHandler{
 		listener: listener,
 		backend:  backend,
 		limits:   limits,
+		reader:   newOptions(opts).intake.orDefault(limits).newReader(listener, limits),
 		inFlight: make(chan struct{}, limits.MaxRequests),
 	}
 }
@@ -45,7 +45,6 @@
 		case h.inFlight <- struct{}{}:
 			defer func() { <-h.inFlight }()
 			h.setBodyDeadline(w, r)
-			r.Body = http.MaxBytesReader(recorder, r.Body, h.limits.MaxBodyBytes)
 			next.ServeHTTP(recorder, r)
 		default:
 			fault := wire.NewFault(wire.CodeBusy, "too many requests are open")
@@ -83,15 +82,18 @@
 	return r.ResponseWriter
 }
 
-// decodeBody decodes a body that must hold exactly one JSON value without
+// decodeBody receives and decodes a body that must hold exactly one JSON value without
 // unknown fields, within the size and time limits.
 func (h *baseHandler) decodeBody(w http.ResponseWriter, r *http.Request, dst any) *wire.Fault {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		return bodyFault(err)
+	body, fault := h.receive(w, r, "")
+	if fault != nil {
+		return fault
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	defer body.Release()
+	return decodeJSON(body.Data, dst)
+}
+
+func decodeJSON(data []byte, dst any) *wire.Fault {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(dst); err != nil {
@@ -103,14 +105,6 @@
 	return nil
 }
 
-func bodyFault(err error) *wire.Fault {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return wire.NewFault(wire.CodeBadRequest, "body: larger than the limit")
-	}
-	return wire.NewFault(wire.CodeBadRequest, "body: not received whole in time")
-}
-
 // parseWait returns the value of the wait query parameter, or 0 if it is not set.
 func parseWait(r *http.Request) (time.Duration, *wire.Fault) {
 	text := r.URL.Query().Get("wait")
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -83,8 +83,8 @@
 
 // NewTargetsHandler returns the handler of the targets' API. If the token is
 // empty, targets are not authenticated.
-func NewTargetsHandler(backend Backend, limits Limits, token string) http.Handler {
-	t := &targetsHandler{baseHandler: newBaseHandler("targets", backend, limits)}
+func NewTargetsHandler(backend Backend, limits Limits, token string, opts ...Option) http.Handler {
+	t := &targetsHandler{baseHandler: newBaseHandler("targets", backend, limits, opts)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/targets/{target}/announce", t.announce)
 	mux.HandleFunc("POST /v1/targets/{target}/poll", t.poll)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -207,6 +207,12 @@
 	return t.evicted
 }
 
+func (t *Ticket) isLarge() bool {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	return t.large
+}
+
 // Release ends the reservation. It may be called again.
 func (t *Ticket) Release() {
 	t.gate.mu.Lock()
--- a/internal/intake/reader.go
+++ b/internal/intake/reader.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// ReleaseSmall ends the reservation of a body that does not count as large.
+func (b *Body) ReleaseSmall() {
+	if b.ticket != nil && !b.ticket.isLarge() {
+		b.ticket.Release()
+	}
+}
+
 // Read receives the body of a request. On a refusal, which is logged and counted, it
 // sets the headers with which the connection is closed after the response; the
 // caller writes the status.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -94,6 +94,11 @@
 	)
 }
 
+// Register registers a collector.
+func (m *Metrics) Register(c prometheus.Collector) {
+	m.registry.MustRegister(c)
+}
+
 // Handler returns an HTTP handler that serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return NewHandler(m.registry)
--- a/internal/wire/fault.go
+++ b/internal/wire/fault.go
@@ -35,6 +35,7 @@
 	CodeSessionGone     Code = "session-gone"
 	CodeSessionLive     Code = "session-live"
 	CodeMembership      Code = "membership-not-allowed"
+	CodeTooLarge        Code = "too-large"
 	CodeInternal        Code = "internal"
 )
 
