--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -75,14 +75,15 @@
 	Limit quota.Resources
 }
 
-// Check validates the configuration and returns all faults found.
+// MaxFaults is how many faults of a configuration are reported. A large one has so many
+// that their text would take more memory than the configuration.
+const MaxFaults = 1000
+
+// Check validates the configuration and returns the faults found, at most MaxFaults.
 func (c *Config) Check() []note.Fault {
 	var faults []note.Fault
 	add := func(subject, message string) {
-		faults = append(faults, note.Fault{
-			Path:    subject,
-			Message: message,
-		})
+		faults = appendFault(faults, subject, message)
 	}
 	services := map[string]bool{}
 	for _, s := range c.Services {
@@ -129,6 +130,17 @@
 	return faults
 }
 
+// appendFault appends a fault, unless there are MaxFaults.
+func appendFault(faults []note.Fault, subject, message string) []note.Fault {
+	if len(faults) == MaxFaults {
+		return faults
+	}
+	return append(faults, note.Fault{
+		Path:    subject,
+		Message: message,
+	})
+}
+
 // checkEncoding returns an error unless the log can carry the configuration and
 // every replica can decode it.
 func (c *Config) checkEncoding() error {
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -50,7 +50,8 @@
 	// many clients from one address.
 	AddressBytes int64
 	KeyBytes     int64
-	// CallBytes bounds the large bodies that wait in calls to the leader.
+	// CallBytes bounds the text of the large bodies that are complete, which wait in
+	// calls to the leader. The leader gets as much from each instance.
 	CallBytes int64
 	// EvictAfter is how long a body must have been incomplete before it may be
 	// closed in favour of others.
@@ -63,7 +64,7 @@
 	requestOverhead = 512
 	// Of a budget, reserveDivisor-1 parts of reserveDivisor are for large bodies.
 	reserveDivisor = 4
-	// An address may use 3/4 of a budget, and a key or the calls to the leader 1/2.
+	// An address may use 3/4 of a budget, and a key 1/2.
 	addressPercent = 75
 	keyPercent     = 50
 	// defaultSmallBody is several times the size of an ordinary job.
@@ -75,8 +76,9 @@
 	defaultEvictAfter = time.Second
 )
 
-// NewBudget returns a budget of the total bytes with default parts. Each part is
-// large enough for one body that needs as many bytes as single.
+// NewBudget returns a budget of the total bytes with default parts, of which each is
+// large enough for one body that needs as many bytes as single, and without a limit of
+// calls.
 func NewBudget(total, single int64) Budget {
 	large := total - total/reserveDivisor
 	single = min(single, large)
@@ -86,7 +88,7 @@
 		SmallBody:    defaultSmallBody,
 		AddressBytes: max(min(large, total/100*addressPercent), single),
 		KeyBytes:     max(total/100*keyPercent, single),
-		CallBytes:    max(total/100*keyPercent, single),
+		CallBytes:    total,
 		EvictAfter:   defaultEvictAfter,
 	}
 }
@@ -98,7 +100,7 @@
 	budget Budget
 
 	mu sync.Mutex
-	// used counts all bytes, large those of large bodies, and calls those of large
+	// used counts all bytes, large those of large bodies, and calls the text of large
 	// bodies that are complete.
 	used, large, calls int64
 	// addresses and keys count the bytes of large bodies.
@@ -135,6 +137,7 @@
 
 	// The following are protected by the gate's lock.
 	bytes    int64
+	text     int64
 	large    bool
 	complete bool
 	evicted  bool
@@ -172,9 +175,10 @@
 	return t.gate.grow(t, bytes, t.large || bytes > t.gate.budget.SmallBody, now)
 }
 
-// Complete records that the body is complete, which excludes it from eviction, and
-// raises the reservation to what the request needs until it is answered.
-func (t *Ticket) Complete(bytes int64, now time.Time) Reason {
+// Complete records that the body is complete, with the bytes of its text, which excludes
+// it from eviction, and raises the reservation to what the request needs until it is
+// answered.
+func (t *Ticket) Complete(text, bytes int64, now time.Time) Reason {
 	g := t.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -186,16 +190,17 @@
 	switch {
 	case large && g.exceedsAlways(t, bytes):
 		return ReasonDecoded
-	case large && g.calls+max(bytes, t.bytes) > g.budget.CallBytes:
+	case large && g.calls+text > g.budget.CallBytes:
 		return ReasonCalls
 	}
 	if reason := g.grow(t, bytes, large, now); reason != "" {
 		return reason
 	}
 	t.complete = true
+	t.text = text
 	g.receiving.Remove(t.element)
 	if t.large {
-		g.calls += t.bytes
+		g.calls += t.text
 	}
 	return ""
 }
@@ -244,7 +249,7 @@
 // bytes. The lock must be held.
 func (g *Gate) exceedsAlways(t *Ticket, bytes int64) bool {
 	b := &g.budget
-	limit := min(b.LargeBytes, b.AddressBytes, b.CallBytes)
+	limit := min(b.LargeBytes, b.AddressBytes)
 	if t.client.Key != "" {
 		limit = min(limit, b.KeyBytes)
 	}
@@ -325,7 +330,7 @@
 	t.released = true
 	g.add(t, -1)
 	if t.complete && t.large {
-		g.calls -= t.bytes
+		g.calls -= t.text
 	}
 	if !t.complete {
 		g.receiving.Remove(t.element)
--- a/internal/intake/reader.go
+++ b/internal/intake/reader.go
@@ -163,7 +163,7 @@
 	}
 	reason = a.receive()
 	if reason == "" {
-		reason = ticket.Complete(r.cost(a.data), time.Now())
+		reason = ticket.Complete(int64(len(a.data)), r.cost(a.data), time.Now())
 	}
 	if reason != "" {
 		ticket.Release()
