--- a/internal/intake/reader_test.go
+++ b/internal/intake/reader_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 )
 
@@ -200,6 +201,29 @@
 	r.Check(lines[2], qt.Contains, "omitted=999")
 }
 
+// An operator has to see refusals and what is reserved.
+func TestMetrics(t *testing.T) {
+	r := newReaderTest(t)
+	body, refusal, _ := r.read(mib, fill)
+	r.Assert(refusal, qt.IsNil)
+	defer body.Release()
+	_, refusal, _ = r.read(mib+1, fill)
+	r.Assert(refusal, qt.IsNotNil)
+	registry := prometheus.NewRegistry()
+	r.Assert(registry.Register(r.reader.monitor), qt.IsNil)
+	families, err := registry.Gather()
+	r.Assert(err, qt.IsNil)
+	values := map[string]float64{}
+	for _, family := range families {
+		metric := family.GetMetric()[0]
+		values[family.GetName()+"/"+metric.GetLabel()[0].GetValue()] = metric.GetGauge().GetValue() + metric.GetCounter().GetValue()
+	}
+	r.Check(values, qt.DeepEquals, map[string]float64{
+		"jasmineward_intake_bytes/test":              mib + requestOverhead,
+		"jasmineward_intake_refused_total/too-large": 1,
+	})
+}
+
 // wire is a connection that records its writes.
 type wire struct {
 	net.Conn
