--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -29,6 +29,15 @@
 	// leaseDriftDivisor sets how much shorter than the election timeout a leader's
 	// lease is, to allow for clock drift: by a tenth of the timeout.
 	leaseDriftDivisor = 10
+	// lossTimeoutDivisor sets, as a part of the election timeout, how long a leader
+	// waits for progress before it takes a rejection as a sign that entries were lost.
+	// A connection that is overdue is replaced within less than that.
+	lossTimeoutDivisor = 2
+	// maxLossBackoff is how many times in succession that wait doubles at most.
+	maxLossBackoff = 3
+	// maxEarlyBytes is the maximum size of the appends that a follower keeps until the
+	// entries before them arrive.
+	maxEarlyBytes = 1 << 20
 	// neverAcked is earlier than every clock reading.
 	neverAcked = time.Duration(math.MinInt64 / 2)
 )
@@ -102,6 +111,11 @@
 	// agree.
 	probing   bool
 	probeSent bool
+	// advancedAt is when match last rose, or when entries were sent while none were in
+	// flight if that is later.
+	advancedAt time.Duration
+	// losses counts how often entries counted as lost since match last rose.
+	losses int
 	// pendingSnapshot is the index of the snapshot being sent, or zero.
 	pendingSnapshot uint64
 	snapshotSentAt  time.Duration
@@ -167,6 +181,8 @@
 	transferee        ID
 	transferDeadline  time.Duration
 	leaseRevoked      bool
+	// early holds appends that arrived before the entries that they follow.
+	early []Message
 
 	pendingReads []pendingRead
 	readyReads   []ReadState
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -12,18 +12,83 @@
 	}
 	c.recordLeaderContact(m.From)
 	c.recordSilence(m)
-	if m.Index < c.commit {
-		c.replyAppend(m, c.commit)
-		return
-	}
-	if term, ok := c.log.term(m.Index); !ok || term != m.LogTerm {
+	if !c.acceptAppend(m) {
 		c.rejectAppend(m)
+		c.keepEarly(m)
 		return
 	}
-	c.appendFrom(m.Entries)
+	c.acceptEarly()
+}
+
+// acceptAppend takes over an append of the leader of this term and replies to it. It
+// reports whether the log contains the entry that the append follows.
+//
+// Entries up to the commit index are skipped instead of compared: the leader's log
+// contains all committed entries, so the rest of the append follows the last of them.
+func (c *Core) acceptAppend(m Message) bool {
 	last := m.Index + uint64(len(m.Entries))
+	if last < c.commit || m.Index < c.commit && len(m.Entries) == 0 {
+		c.replyAppend(m, c.commit)
+		return true
+	}
+	entries := m.Entries
+	if m.Index < c.commit {
+		entries = entries[c.commit-m.Index:]
+	} else if term, ok := c.log.term(m.Index); !ok || term != m.LogTerm {
+		return false
+	}
+	c.appendFrom(entries)
 	c.commit = max(c.commit, min(m.Commit, last))
 	c.replyAppend(m, last)
+	return true
+}
+
+// keepEarly keeps an append that has overtaken the one before it on another connection.
+// It has been rejected, which a leader that expects this ignores.
+func (c *Core) keepEarly(m Message) {
+	if m.Index <= c.log.lastIndex() || len(m.Entries) == 0 {
+		return
+	}
+	bytes := entriesSize(m.Entries)
+	for _, kept := range c.early {
+		if kept.Term != m.Term {
+			c.early = nil
+			break
+		}
+		if kept.Index == m.Index && len(kept.Entries) >= len(m.Entries) {
+			return
+		}
+		bytes += entriesSize(kept.Entries)
+	}
+	if bytes <= maxEarlyBytes {
+		c.early = append(c.early, m)
+	}
+}
+
+// acceptEarly takes over the appends that were kept for the entries before them.
+func (c *Core) acceptEarly() {
+	for accepted := true; accepted; {
+		accepted = false
+		kept := c.early
+		c.early = nil
+		for _, m := range kept {
+			switch {
+			case m.Term != c.term:
+			case m.Index > c.log.lastIndex():
+				c.early = append(c.early, m)
+			default:
+				accepted = c.acceptAppend(m) || accepted
+			}
+		}
+	}
+}
+
+func entriesSize(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += entryOverhead + len(e.Data)
+	}
+	return size
 }
 
 // recordLeaderContact records a message from the leader of this term and restarts
@@ -105,6 +170,7 @@
 		c.replyAppend(m, meta.Index)
 		return
 	}
+	c.early = nil
 	c.log.entries = nil
 	c.log.memberships = nil
 	c.log.base = meta
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -160,6 +160,9 @@
 		Silent:  c.silentMembers(),
 	}
 	if withEntries {
+		if prev == pr.match {
+			pr.advancedAt = c.now
+		}
 		m.Entries = c.log.slice(prev+1, c.log.lastIndex(), c.cfg.MaxBatchBytes)
 		pr.next = prev + 1 + uint64(len(m.Entries))
 	}
@@ -167,8 +170,23 @@
 	return len(m.Entries) > 0
 }
 
-// sendHeartbeat sends an append without entries. Its predecessor is the last entry
-// sent, so the follower rejects it if entries have been lost.
+// lossTimeout returns how long the leader waits for progress of the replica before it
+// takes a rejection as a sign that entries were lost. Until then they may be on their
+// way over another connection. The wait doubles each time, because sending everything
+// again makes a link that is only slow slower.
+func (c *Core) lossTimeout(pr *progress) time.Duration {
+	return c.cfg.ElectionTimeout / lossTimeoutDivisor << min(pr.losses, maxLossBackoff)
+}
+
+// mayBeOnTheWay reports whether the entries in flight may still arrive.
+func (c *Core) mayBeOnTheWay(pr *progress) bool {
+	return c.now-pr.advancedAt < c.lossTimeout(pr)
+}
+
+// sendHeartbeat sends an append without entries. Its predecessor is the last entry that
+// the follower is known to have, because a heartbeat may overtake entries. Once there
+// was no progress for a while, it is the last entry sent, so that the follower rejects
+// the heartbeat if entries have been lost.
 func (c *Core) sendHeartbeat(to ID) {
 	pr := c.progress[to]
 	pr.probeSent = false
@@ -183,7 +201,11 @@
 		c.probe(to, pr)
 		return
 	}
-	c.sendAppend(to, pr, pr.next-1, false)
+	prev := pr.next - 1
+	if _, ok := c.log.term(pr.match); ok && c.mayBeOnTheWay(pr) {
+		prev = pr.match
+	}
+	c.sendAppend(to, pr, prev, false)
 }
 
 func (c *Core) onAppendReply(m Message) {
@@ -200,6 +222,8 @@
 	}
 	if m.Index > pr.match {
 		pr.match = m.Index
+		pr.advancedAt = c.now
+		pr.losses = 0
 		c.maybeCommit()
 	}
 	// The commit of its own removal ends the leadership.
@@ -222,10 +246,21 @@
 	c.sendEntries(m.From)
 }
 
+// onRejected handles the rejection of an append that follows m.Index. Rejections may be
+// repeated or late: while the leader probes, only that of the current probe counts, and
+// otherwise none as long as the entries in flight may still arrive.
 func (c *Core) onRejected(m Message, pr *progress) {
 	if m.Index <= pr.match || pr.pendingSnapshot != 0 {
 		return
 	}
+	switch {
+	case pr.probing && m.Index != pr.next-1:
+		return
+	case !pr.probing && c.mayBeOnTheWay(pr):
+		return
+	case !pr.probing:
+		pr.losses++
+	}
 	pr.next = max(pr.match+1, min(m.Index, m.Hint+1))
 	pr.probing = true
 	pr.probeSent = false
--- a/pkg/raft/simulation_cases_test.go
+++ b/pkg/raft/simulation_cases_test.go
@@ -75,9 +75,9 @@
 		fault faultKind
 		from  int
 	}{
-		{name: "vote lost at restart", fault: faultForgetVote, from: 0},
+		{name: "vote lost at restart", fault: faultForgetVote, from: 320},
 		{name: "synced entries lost at restart", fault: faultLoseSyncedEntries, from: 0},
-		{name: "reply sent before sync", fault: faultReplyBeforeSync, from: 1790},
+		{name: "reply sent before sync", fault: faultReplyBeforeSync, from: 1230},
 		{name: "replica reuses its ID after disk loss", fault: faultReuseIDAfterDiskLoss, from: 0},
 		{name: "clock drift exceeds the margin", fault: faultClockDrift, from: 0},
 	}
--- a/pkg/raft/simulation_test.go
+++ b/pkg/raft/simulation_test.go
@@ -94,6 +94,8 @@
 	blockedLinks map[[2]ID]bool
 	// lossPercent is the percentage of messages lost on the other links.
 	lossPercent int
+	// lanes replaces the random delays of messages, unless it is nil.
+	lanes *simLanes
 
 	// The fields below record what has been observed, for the checks.
 
@@ -462,6 +464,10 @@
 		if s.blockedLinks[[2]ID{m.From, m.To}] || s.choices.pick(100) < s.lossPercent {
 			continue
 		}
+		if s.lanes != nil {
+			s.delayed = append(s.delayed, s.lanes.send(m, s.now, s.choices)...)
+			continue
+		}
 		copies := 1
 		if s.lossPercent > 0 && s.choices.pick(20) == 0 {
 			copies = 2
@@ -604,6 +610,7 @@
 func (s *simGroup) healAndCheck() error {
 	s.blockedLinks = map[[2]ID]bool{}
 	s.lossPercent = 0
+	s.lanes = nil
 	for _, id := range s.ids {
 		r := s.replicas[id]
 		r.pausedUntil = 0
@@ -633,7 +640,11 @@
 // runSimulation runs a simulation with the given number of steps.
 func runSimulation(choices choiceSource, fault faultKind, steps int) error {
 	size := []int{3, 5, 7}[choices.pick(3)]
-	s := newSimGroup(choices, fault, size)
+	return newSimGroup(choices, fault, size).run(steps)
+}
+
+// run performs the number of random actions after a leader had time to be elected.
+func (s *simGroup) run(steps int) error {
 	if err := s.advance(400 * time.Millisecond); err != nil {
 		return err
 	}
