--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -24,6 +24,9 @@
 	snapshotInterval = 4000
 	// trailingEntries is the number of log entries kept in memory behind a snapshot.
 	trailingEntries = 1000
+	// maxBatchBytes is the maximum size of the entries in one message. A larger one takes
+	// longer on a slow link than an election timeout.
+	maxBatchBytes = 64 << 10
 )
 
 // openReplica locks the data folder, if there is one, and starts the replica
@@ -123,6 +126,7 @@
 		ID:                id.ID,
 		ElectionTimeout:   h.cfg.ElectionTimeout,
 		HeartbeatInterval: h.cfg.HeartbeatInterval,
+		MaxBatchBytes:     maxBatchBytes,
 		Seed:              uint64(id.ID),
 	}, h.withSyncTiming(storage), h.transport, h.stateMachine,
 		raft.WithClock(bootClock()),
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -97,8 +97,10 @@
 	address string
 	mode    byte
 
-	mu       sync.Mutex
-	conn     *rpc.Client
+	mu   sync.Mutex
+	conn *rpc.Client
+	// dialing is closed when the dial in progress ends. It is nil if there is none.
+	dialing  chan struct{}
 	redialAt time.Time
 	closed   bool
 	// timeouts counts the calls that have timed out since the last reply.
@@ -125,19 +127,52 @@
 	}
 }
 
+// connect returns the connection, which it establishes if there is none. The lock is
+// not held during the dial, so that a lost SYN holds up neither Reset nor callers whose
+// context ends earlier.
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return nil, ErrUnreachable
-	}
-	if c.conn != nil {
-		return c.conn, nil
+	for {
+		c.mu.Lock()
+		conn, pending, err := c.conn, c.dialing, c.checkDialable()
+		if conn == nil && pending == nil && err == nil {
+			c.dialing = make(chan struct{})
+		}
+		c.mu.Unlock()
+		switch {
+		case err != nil:
+			return nil, err
+		case conn != nil:
+			return conn, nil
+		case pending == nil:
+			return c.dial(ctx)
+		}
+		select {
+		case <-pending:
+		case <-ctx.Done():
+			return nil, errors.Wrapf(ErrUnreachable, "%s: %s", c.address, ctx.Err())
+		}
 	}
-	if time.Now().Before(c.redialAt) {
-		return nil, errors.Wrap(ErrUnreachable, c.address)
+}
+
+// checkDialable returns ErrUnreachable if there is no connection and none may be
+// established now. The caller holds the lock.
+func (c *Client) checkDialable() error {
+	switch {
+	case c.closed:
+		return ErrUnreachable
+	case c.conn == nil && time.Now().Before(c.redialAt):
+		return errors.Wrap(ErrUnreachable, c.address)
 	}
+	return nil
+}
+
+// dial establishes the connection and ends the dial in progress.
+func (c *Client) dial(ctx context.Context) (*rpc.Client, error) {
 	conn, err := c.dialer.dial(ctx, c.address, c.mode)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dialing)
+	c.dialing = nil
 	if err != nil {
 		// A dial that its caller has cancelled says nothing about the address.
 		if !errors.Is(ctx.Err(), context.Canceled) {
@@ -145,6 +180,10 @@
 		}
 		return nil, err
 	}
+	if c.closed {
+		_ = conn.Close()
+		return nil, ErrUnreachable
+	}
 	c.conn = conn
 	c.timeouts = 0
 	c.lastReply = time.Now()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,17 +22,6 @@
 	chunkBytes = 256 << 10
 	// chunkTimeout bounds the call that sends one snapshot chunk.
 	chunkTimeout = 5 * time.Second
-	// stepTimeout is how long calls may be in flight without any reply before the
-	// connection is reset.
-	stepTimeout = time.Second
-	// sendQueueSize is the maximum number of messages queued for one replica.
-	sendQueueSize    = 4096
-	maxBatchMessages = 512
-	// maxBatchBytes is the size in bytes of the entry data at which a batch is
-	// complete.
-	maxBatchBytes = 1 << 20
-	// maxInFlight is the maximum number of calls in flight to one replica.
-	maxInFlight = 64
 )
 
 // StepArgs carries a batch of Raft messages.
@@ -56,12 +45,16 @@
 type Empty struct{}
 
 // RaftTransport sends the Raft messages of one replica. It looks addresses up
-// as messages are sent, and keeps one ordered connection to each replica.
+// as messages are sent, and keeps a few ordered connections to each replica (see
+// link).
 type RaftTransport struct {
 	cell      string
 	dialer    *Dialer
 	addressOf func(raft.ID) string
 
+	// resent counts the messages that were sent again.
+	resent atomic.Uint64
+
 	mu    sync.Mutex
 	links map[raft.ID]*link
 	ctx   context.Context
@@ -85,14 +78,6 @@
 	}
 }
 
-// link is the ordered connection to one replica, with its send queue.
-type link struct {
-	client  *Client
-	address string
-	queue   chan raft.Message
-	stop    context.CancelFunc
-}
-
 // Send queues the messages. It drops messages whose queue is full and messages
 // to replicas without a known address.
 func (t *RaftTransport) Send(messages []raft.Message) {
@@ -101,10 +86,7 @@
 		if l == nil {
 			continue
 		}
-		select {
-		case l.queue <- m:
-		default:
-		}
+		l.enqueue(m)
 	}
 }
 
@@ -126,94 +108,12 @@
 		return nil
 	}
 	ctx, stop := context.WithCancel(t.ctx)
-	l = &link{
-		client:  t.dialer.NewOrderedClient(address),
-		address: address,
-		queue:   make(chan raft.Message, sendQueueSize),
-		stop:    stop,
-	}
+	l = newLink(t, address, stop)
 	t.links[to] = l
-	t.wg.Add(1)
-	go t.run(ctx, l)
+	t.wg.Go(func() { l.run(ctx) })
 	return l
 }
 
-// run sends the queued messages in batches, with up to maxInFlight calls in
-// flight. It resets the connection if calls are in flight and no reply arrives
-// for stepTimeout.
-func (t *RaftTransport) run(ctx context.Context, l *link) {
-	defer t.wg.Done()
-	defer l.client.Close()
-	replies := make(chan *rpc.Call, maxInFlight)
-	inFlight := 0
-	lastReply := time.Now()
-	ticker := time.NewTicker(stepTimeout / 4)
-	defer ticker.Stop()
-	for {
-		queue := l.queue
-		if inFlight >= maxInFlight {
-			queue = nil
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if inFlight > 0 && time.Since(lastReply) > stepTimeout {
-				l.client.Reset()
-				lastReply = time.Now()
-			}
-		case call := <-replies:
-			inFlight--
-			lastReply = time.Now()
-			if call.Error != nil {
-				l.client.Reset()
-			}
-		case m := <-queue:
-			if inFlight == 0 {
-				lastReply = time.Now()
-			}
-			if t.startStep(ctx, l, m, replies) {
-				inFlight++
-			}
-		}
-	}
-}
-
-// startStep starts a call with a batch of queued messages that begins with
-// first, and reports whether the call was started.
-func (t *RaftTransport) startStep(ctx context.Context, l *link, first raft.Message, replies chan *rpc.Call) bool {
-	args := &StepArgs{
-		Cell:     t.cell,
-		Messages: collectBatch(first, l.queue),
-	}
-	return l.client.Go(ctx, methodStep, args, &Empty{}, replies) == nil
-}
-
-// collectBatch returns first and the queued messages that fit one batch.
-func collectBatch(first raft.Message, queue chan raft.Message) []raft.Message {
-	batch := []raft.Message{first}
-	bytes := entryBytes(first)
-	for len(batch) < maxBatchMessages && bytes < maxBatchBytes {
-		select {
-		case m := <-queue:
-			batch = append(batch, m)
-			bytes += entryBytes(m)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
-// entryBytes returns the total size of the data in the message's entries.
-func entryBytes(m raft.Message) int {
-	bytes := 0
-	for i := range m.Entries {
-		bytes += len(m.Entries[i].Data)
-	}
-	return bytes
-}
-
 // SendSnapshot sends the snapshot in chunks over a separate connection.
 func (t *RaftTransport) SendSnapshot(ctx context.Context, m raft.Message) error {
 	t.mu.Lock()
@@ -256,6 +156,12 @@
 	return nil
 }
 
+// Resent returns how many messages were sent again over another connection because
+// the first one was overdue.
+func (t *RaftTransport) Resent() uint64 {
+	return t.resent.Load()
+}
+
 // Close closes all connections and waits for their goroutines.
 func (t *RaftTransport) Close() {
 	t.stop()
