--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -28,6 +28,8 @@
 	Config *Config
 	Prune  *Prune
 	Clear  *ClearSuspicion
+	// Evacuate is ignored by replicas of the release before.
+	Evacuate *Evacuate `cbor:",omitempty"`
 }
 
 // Address is the host and path of a client's request, and its API key.
--- a/internal/graph/fuzz_test.go
+++ b/internal/graph/fuzz_test.go
@@ -45,10 +45,15 @@
 			Run:    1,
 			Target: announcement.ID,
 		}}}}},
+		{Evacuate: &Evacuate{Domain: "d"}},
 		{Copy: &Speculate{Tasks: []TaskRef{task}}},
 		{Evict: &Evict{Tasks: []TaskRef{task}}},
 		{Events: &Events{Ends: []RunEnd{end}}},
 		{Gone: &EndIncarnations{Targets: []TargetID{announcement.ID}}},
+		{Evacuate: &Evacuate{
+			Domain:    "d",
+			Withdrawn: true,
+		}},
 		{Cancel: &Cancel{
 			Address: testAddress,
 			ID:      "a",
@@ -64,9 +69,12 @@
 func readAll(l *Ledger) {
 	for _, target := range l.Targets() {
 		l.Assignments(target.ID)
+		l.IsTargetEvacuated(target.ID)
 	}
 	l.Counts()
 	l.MostUrgentAdvice()
+	l.Evacuations()
+	l.Domains()
 	l.View(time.UnixMilli(1000), func(v *View) {
 		for _, job := range v.Jobs() {
 			v.QueueOf(job)
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -31,6 +31,10 @@
 	suspects map[TaskRef]CrashCount
 	// blames has the evidence against tasks of live jobs.
 	blames map[TaskRef]Blame
+	// evacuated has the evacuated failure domains and since when they are, and
+	// evacuationChanges counts how often that changed.
+	evacuated         map[string]Millis
+	evacuationChanges uint64
 	// finished collects the jobs that the current command brings to a final
 	// state.
 	finished []FinishedJob
@@ -54,6 +58,8 @@
 	l.pendingByQueue = map[string]int{}
 	l.suspects = map[TaskRef]CrashCount{}
 	l.blames = map[TaskRef]Blame{}
+	l.evacuated = map[string]Millis{}
+	l.evacuationChanges = 0
 }
 
 // Apply applies a command to the state.
@@ -89,6 +95,8 @@
 		l.pruneJobs(c.Prune.Before)
 	case c.Clear != nil:
 		l.clearSuspicion(c.Clear)
+	case c.Evacuate != nil:
+		l.evacuate(c.Evacuate)
 	}
 	return Result{}
 }
@@ -295,6 +303,9 @@
 	Config  *Config
 	Jobs    []*Job
 	Targets []snapshotTarget
+	// Evacuated and EvacuationChanges are not known to the release before.
+	Evacuated         []Evacuation `cbor:",omitempty"`
+	EvacuationChanges uint64       `cbor:",omitempty"`
 }
 
 // snapshotTarget is the encoded form of a target. Refs and ActiveRuns are the
@@ -310,7 +321,11 @@
 func (l *Ledger) Snapshot() func() ([]byte, error) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	s := snapshot{Now: l.now}
+	s := snapshot{
+		Now:               l.now,
+		Evacuated:         l.evacuations(),
+		EvacuationChanges: l.evacuationChanges,
+	}
 	if l.config != nil {
 		s.Config = l.config.config
 	}
@@ -366,6 +381,10 @@
 	defer l.mu.Unlock()
 	l.reset()
 	l.now = s.Now
+	for _, e := range s.Evacuated {
+		l.evacuated[e.Domain] = e.Since
+	}
+	l.evacuationChanges = s.EvacuationChanges
 	if s.Config != nil {
 		l.config = newConfigIndex(s.Config)
 	}
--- a/internal/graph/oracle_test.go
+++ b/internal/graph/oracle_test.go
@@ -27,6 +27,8 @@
 	crashes map[TaskRef]int
 	// attempts says what the job's queues allow and which runs have failed.
 	attempts attemptModel
+	// evacuated has the evacuated domains.
+	evacuated map[string]bool
 }
 
 func testConfig(version int64, limit quota.MilliCPU) *Config {
@@ -70,6 +72,7 @@
 		doneTasks:  map[TaskRef]bool{},
 		crashes:    map[TaskRef]int{},
 		attempts:   newAttemptModel(),
+		evacuated:  map[string]bool{},
 	}
 	m.apply(Command{Config: testConfig(1, 6000)})
 	for i := range 3 {
@@ -461,9 +464,11 @@
 					m.apply(Command{Evict: &Evict{Tasks: []TaskRef{ref}}})
 				}
 			},
-			"restore": m.restore,
+			"evacuate": m.evacuate,
+			"restore":  m.restore,
 			"": func(t *rapid.T) {
 				m.check(t)
+				m.checkEvacuated(t)
 				m.checkSuspects(t)
 			},
 		})
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -504,6 +504,8 @@
 	// Used is the part of the targets' total Capacity that runs reserve.
 	Used     quota.Resources
 	Capacity quota.Resources
+	// Evacuated counts the evacuated failure domains.
+	Evacuated int
 }
 
 // Counts returns the current totals.
@@ -513,6 +515,8 @@
 	c := Counts{
 		Live:    len(l.liveJobs),
 		Targets: len(l.targets),
+
+		Evacuated: len(l.evacuated),
 	}
 	for _, n := range l.pendingByQueue {
 		c.Pending += n
