--- a/internal/graph/evacuation.go
+++ b/internal/graph/evacuation.go
@@ -84,6 +84,19 @@
 	return evacuated
 }
 
+// TargetsIn returns the number of known targets in the failure domain.
+func (l *Ledger) TargetsIn(domain string) int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	count := 0
+	for _, t := range l.targets {
+		if t.Domain == domain {
+			count++
+		}
+	}
+	return count
+}
+
 // Domains returns the failure domains of the known targets, in order.
 func (l *Ledger) Domains() []string {
 	l.mu.RLock()
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -141,6 +141,8 @@
 	switch {
 	case !p.withinClientAccountLimit(step):
 		return ReasonClientAccountLimit
+	case p.isEvacuated(p.input.View.ServiceOf(step.job)):
+		return ReasonEvacuated
 	case step.queue != nil && step.queue.Advice != nil && (advice == nil || advice.InFlight):
 		return ReasonNoAdvice
 	case len(p.decision.Holds) > 0 && p.decision.Holds[step.key] == nil && p.isRoomHeld(step, advice):
@@ -149,6 +151,11 @@
 	return ReasonNoCapacity
 }
 
+// isEvacuated reports whether the service has no other targets than evacuated ones.
+func (p *planner) isEvacuated(service string) bool {
+	return p.evacuatedServices[service] && len(p.byService[service]) == 0
+}
+
 // isRoomHeld reports whether a task of the step would fit on a target if no room
 // were held there for a gang.
 func (p *planner) isRoomHeld(step *pendingStep, advice *StepAdvice) bool {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -111,6 +111,9 @@
 	// ReasonHeld means that the room in which the tasks would fit is held for a
 	// more urgent step.
 	ReasonHeld WaitReason = "held"
+	// ReasonEvacuated means that all targets of the service that respond are in
+	// evacuated failure domains.
+	ReasonEvacuated WaitReason = "evacuated"
 	// ReasonMoreUrgentWork means that more urgent work used up the placements
 	// of one decision.
 	ReasonMoreUrgentWork WaitReason = "more-urgent-work"
@@ -136,6 +139,9 @@
 	input     Input
 	byService map[string][]*targetState
 	byID      map[string]*targetState
+	// evacuatedServices contains the services with a usable target in an evacuated
+	// failure domain.
+	evacuatedServices map[string]bool
 	// usedByClientAccount holds the resources of pending and new placements.
 	usedByClientAccount map[string]quota.Resources
 	// urgentClientAccounts contains the client accounts with urgent jobs,
@@ -159,6 +165,7 @@
 	p := &planner{
 		input:                in,
 		byService:            map[string][]*targetState{},
+		evacuatedServices:    map[string]bool{},
 		usedByClientAccount:  map[string]quota.Resources{},
 		urgentClientAccounts: map[string]bool{},
 		sortedServices:       map[string]bool{},
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -39,7 +39,8 @@
 }
 
 // loadTargets collects the targets that accept tasks, with their free
-// resources after deducting pending placements.
+// resources after deducting pending placements. Those in evacuated failure
+// domains accept none.
 func (p *planner) loadTargets() {
 	targets := p.input.View.Targets()
 	states := make([]targetState, 0, len(targets))
@@ -48,6 +49,10 @@
 		if info.Leaving || !p.input.Usable(id) {
 			continue
 		}
+		if p.input.View.IsEvacuated(info.Domain) {
+			p.evacuatedServices[info.Service] = true
+			continue
+		}
 		states = append(states, targetState{
 			info:  info,
 			older: p.input.View.OlderIncarnations(id),
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -85,6 +85,9 @@
 
 	// configuring is a semaphore that is held while a configuration is being committed.
 	configuring chan struct{}
+	// evacuating is a semaphore that is held while an evacuation or its withdrawal is
+	// being committed.
+	evacuating chan struct{}
 
 	fenced     atomic.Bool
 	ctx        context.Context
@@ -120,6 +123,7 @@
 		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
 		endedIncarnations: map[graph.TargetID]bool{},
 		configuring:       make(chan struct{}, 1),
+		evacuating:        make(chan struct{}, 1),
 		replaced:          map[graph.TargetID]bool{},
 		ctx:               ctx,
 		cancel:            cancel,
@@ -143,6 +147,7 @@
 // ledger.
 func (l *leader) start() {
 	targets := l.scheduler.ledger.Targets()
+	l.logEvacuations()
 	l.goroutines.Go(func() {
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -173,6 +173,8 @@
 		func(c graph.Counts) float64 { return float64(c.Used.CPU) / milliCoresPerCore })
 	gauge("jasmineward_cores", "Cores of all targets.",
 		func(c graph.Counts) float64 { return float64(c.Capacity.CPU) / milliCoresPerCore })
+	gauge("jasmineward_evacuated_domains", "Failure domains that are evacuated, as known here.",
+		func(c graph.Counts) float64 { return float64(c.Evacuated) })
 	gauge("jasmineward_configuration_version", "Version of the configuration in force here.",
 		func(c graph.Counts) float64 { return float64(c.Version) })
 }
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -142,7 +142,7 @@
 	sent, arrived := false, false
 	for range startAttempts {
 		assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
-		if !assignment.Desired {
+		if !d.mayStart(key, assignment.Desired) {
 			break
 		}
 		if deadline == 0 {
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -24,6 +24,7 @@
 	methodLeave     = rpcServiceName + ".Leave"
 	methodAdvise    = rpcServiceName + ".Advise"
 	methodOrder     = rpcServiceName + ".Order"
+	methodEvacuate  = rpcServiceName + ".Evacuate"
 
 	// serveTimeout bounds the handling of one call.
 	serveTimeout = 5 * time.Second
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -173,7 +173,7 @@
 	state, since := info.state, sent.Sub(info.changedAt)
 	wanted := assignment.Desired && !d.left
 	d.mu.Unlock()
-	startable := wanted && (state != runUnknown || !d.leaves())
+	startable := wanted && (state != runUnknown || !d.leaves() && !d.isEvacuated())
 	switch {
 	case listed && !wanted:
 		d.stop(key)
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -19,13 +19,16 @@
 type Scheduler struct {
 	host *group.Host
 	// cell is the part of the host that the leader and the relays use.
-	cell          cell
-	ledger        *graph.Ledger
-	targets       Targets
-	advisor       Advisor
-	timing        Timing
-	log           *logrus.Logger
-	metrics       *metrics
+	cell    cell
+	ledger  *graph.Ledger
+	targets Targets
+	advisor Advisor
+	timing  Timing
+	log     *logrus.Logger
+	metrics *metrics
+	// domains are the failure domains that may be evacuated. If it is empty, those of
+	// known targets may.
+	domains       []string
 	currentLeader atomic.Pointer[leader]
 	// configuredAt is when the configuration came into force here, in Unix
 	// milliseconds.
@@ -34,10 +37,24 @@
 
 var _ raft.StateMachine = (*Scheduler)(nil)
 
+// Option sets an optional property of a Scheduler.
+type Option func(*Scheduler)
+
+// WithFailureDomains sets the failure domains that may be evacuated. Without it those of
+// known targets may.
+func WithFailureDomains(domains []string) Option {
+	return func(s *Scheduler) { s.domains = domains }
+}
+
 // NewScheduler returns a scheduler that calls targets and the advisor through
 // the given interfaces.
-func NewScheduler(cfg group.Config, timing Timing, targets Targets, advisor Advisor, log *logrus.Logger) (*Scheduler, error) {
+func NewScheduler(
+	cfg group.Config, timing Timing, targets Targets, advisor Advisor, log *logrus.Logger, options ...Option,
+) (*Scheduler, error) {
 	s := newScheduler(timing, targets, advisor, log)
+	for _, option := range options {
+		option(s)
+	}
 	cfg.OnLogSync = func(took time.Duration) { s.metrics.logSync.Observe(took.Seconds()) }
 	host, err := group.NewHost(cfg, s, log)
 	if err != nil {
--- a/internal/push/timing.go
+++ b/internal/push/timing.go
@@ -29,6 +29,9 @@
 	// ClearSuspectAfter is how long a run of a suspect task has to be listed before the
 	// crashes counted against the task are forgotten.
 	ClearSuspectAfter time.Duration
+	// EvacuateWithin is the time after which no task is started in a failure domain whose
+	// evacuation was acknowledged. Tasks that are expected to run longer are moved.
+	EvacuateWithin time.Duration
 	// JobRetention is how long ended jobs are kept in the ledger.
 	JobRetention time.Duration
 }
@@ -44,6 +47,7 @@
 		CallTimeout:     400 * time.Millisecond,
 		MaxHeartbeatAge: 4 * time.Second,
 		StopSettleTime:  1500 * time.Millisecond,
+		EvacuateWithin:  5 * time.Second,
 		JobRetention:    180 * time.Second,
 
 		FreshRunTime:      5 * time.Second,
