--- a/internal/push/evacuate_test.go
+++ b/internal/push/evacuate_test.go
@@ -146,6 +146,26 @@
 	s.c.Check(s.scheduler.ledger.IsEvacuated("east"), qt.IsFalse)
 }
 
+// Two domains are evacuated at once, each by several requests. Each change is one, and none may
+// be lost because another was committed meanwhile.
+func TestEvacuationsAtOnce(t *testing.T) {
+	s := newDomainFixture(t)
+	for _, withdrawn := range []bool{false, true} {
+		var requests sync.WaitGroup
+		for i := range 8 {
+			requests.Go(func() {
+				fault := s.scheduler.Evacuate(s.ctx(), []string{"east", "west"}[i%2], withdrawn)
+				s.c.Check(fault == nil, qt.IsTrue, qt.Commentf("%v", fault))
+			})
+		}
+		requests.Wait()
+		s.c.Check(s.scheduler.ledger.IsEvacuated("east"), qt.Equals, !withdrawn)
+		s.c.Check(s.scheduler.ledger.IsEvacuated("west"), qt.Equals, !withdrawn)
+	}
+	_, changes := s.scheduler.ledger.Evacuations()
+	s.c.Check(changes, qt.Equals, uint64(4))
+}
+
 // A placement may be committed after the evacuation, as it was proposed before. Its start must
 // not be sent, and the task has to run elsewhere.
 func TestStartIsNotSentAfterEvacuation(t *testing.T) {
--- a/internal/push/model_fleet_test.go
+++ b/internal/push/model_fleet_test.go
@@ -37,6 +37,8 @@
 	// lateAcrossLives is true if a life carries orders out late that were meant for an
 	// older one.
 	lateAcrossLives bool
+	// evacuated has the failure domains whose evacuation was acknowledged, and when.
+	evacuated map[string]time.Time
 	// isLate is true while an order is carried out late. The rules with a time bound do
 	// not hold for it.
 	isLate   bool
@@ -301,6 +303,7 @@
 	t.extend(order.Deadline)
 	f.starts++
 	f.checkStart(t, order)
+	f.checkEvacuated(t, order)
 	job := f.jobs[order.Task.Job]
 	t.running[order.Task] = f.newRun(job.spec[order.Task.Step], order.Run)
 	return nil
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -215,6 +215,8 @@
 	script []string
 	// lasting counts the jobs whose tasks last.
 	lasting int
+	// evacuates are the failure domains that are evacuated at times.
+	evacuates []string
 }
 
 func newModel(t *testing.T, seed uint64) *model {
@@ -565,6 +567,10 @@
 		random := rand.New(rand.NewPCG(m.random.Uint64(), uint64(i)))
 		troubles.Go(func() { m.makeTrouble(random) })
 	}
+	for _, domain := range m.evacuates {
+		random := rand.New(rand.NewPCG(m.random.Uint64(), 0))
+		troubles.Go(func() { m.evacuateAtTimes(domain, random) })
+	}
 	troubles.Go(m.submitJobs)
 	troubles.Wait()
 	m.set(func() {
@@ -655,24 +661,24 @@
 //
 //	go test ./internal/push -run TestModel$ -model-seeds 1000 -model-first 100
 func TestModel(t *testing.T) {
-	playModels(t, *modelFirst, *modelSeeds, false)
+	playModels(t, *modelFirst, *modelSeeds, func(*model) {})
 }
 
 // A start that was meant for one life of a target may be read by the next one and carried out
 // seconds later. It extends the lease of all that runs there beyond what the leader counts, and
 // a task runs twice if the target goes silent then.
 func TestModelWithLateOrdersOfOlderLives(t *testing.T) {
-	playModels(t, *modelFirst, *modelSeeds, true)
+	playModels(t, *modelFirst, *modelSeeds, func(m *model) { m.fleet.lateAcrossLives = true })
 }
 
-// playModels plays a row of seeds.
-func playModels(t *testing.T, first uint64, seeds int, lateAcrossLives bool) {
+// playModels plays a row of seeds, with models that prepare has changed.
+func playModels(t *testing.T, first uint64, seeds int, prepare func(*model)) {
 	starts, messages := 0, 0
 	for seed := first; seed < first+uint64(seeds); seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := newModel(t, seed)
-				m.fleet.lateAcrossLives = lateAcrossLives
+				prepare(m)
 				broken := m.play()
 				m.set(func() {
 					starts += m.fleet.starts
