--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -160,8 +160,7 @@
 	placedTasks      int
 }
 
-// Decide returns the placements to propose and the advice to request.
-func Decide(in Input) Decision {
+func newPlanner(in Input) *planner {
 	p := &planner{
 		input:                in,
 		byService:            map[string][]*targetState{},
@@ -177,6 +176,12 @@
 	p.decision.Holds = map[StepKey]*Hold{}
 	p.decision.Tickets = map[graph.TaskRef]string{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
+	return p
+}
+
+// Decide returns the placements to propose and the advice to request.
+func Decide(in Input) Decision {
+	p := newPlanner(in)
 	steps := p.pendingSteps()
 	if len(steps) == 0 {
 		return p.decision
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -78,9 +78,14 @@
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
-	if len(decision.Groups) == 0 {
-		return
+	if len(decision.Groups) > 0 {
+		l.startCommit(decision)
 	}
+	l.moveEvacuated(now, decision.WaitReasons)
+}
+
+// startCommit starts the commit of a decision's placements.
+func (l *leader) startCommit(decision plan.Decision) {
 	l.mu.Lock()
 	l.proposalsInFlight++
 	for _, group := range decision.Groups {
--- a/internal/push/evacuate.go
+++ b/internal/push/evacuate.go
@@ -1,8 +1,10 @@
 package push
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,9 +12,18 @@
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/group"
+	"github.com/jasmineward/jasmineward/internal/plan"
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
+const (
+	// maxEvacuationMoves bounds the tasks that are stopped in evacuated failure domains and
+	// not placed elsewhere yet, so that all but a few are at work at any time.
+	maxEvacuationMoves = 4
+	// evacuationMoveInterval is the time between two choices of such tasks.
+	evacuationMoveInterval = 250 * time.Millisecond
+)
+
 // Operators repeat a request to evacuate a failure domain, through other instances, and a
 // request that was given up may arrive late: after the one that withdraws it. A request
 // therefore names how many changes its sender knows of, and the leader carries out none that
@@ -167,3 +178,110 @@
 	}).Info("evacuation: run is not started")
 	return false
 }
+
+// moveEvacuated stops a few of the checkpointed tasks that run long in evacuated failure
+// domains, if there is free room for them elsewhere. Waits has the reasons for which steps wait.
+func (l *leader) moveEvacuated(now time.Time, waits map[plan.StepKey]plan.WaitReason) {
+	evacuated, _ := l.scheduler.ledger.Evacuations()
+	if len(evacuated) == 0 || now.Sub(l.movesCheckedAt) < evacuationMoveInterval {
+		return
+	}
+	l.movesCheckedAt = now
+	l.forgetMoved()
+	l.mu.Lock()
+	moving, pending := maps.Clone(l.moving), maps.Clone(l.pendingPlacements)
+	l.mu.Unlock()
+	var chosen []plan.Move
+	l.scheduler.ledger.View(now, func(v *graph.View) {
+		chosen = plan.Moves(plan.MoveInput{
+			Input: plan.Input{
+				View:    v,
+				Now:     now,
+				Advice:  l.advice.lookup,
+				Usable:  func(id graph.TargetID) bool { return l.usable(id, now) },
+				Pending: pending,
+				Speed:   l.rater.Speed,
+			},
+			WaitReasons: waits,
+			Remaining: func(id graph.TargetID, task graph.TaskRef, run uint32, estimate graph.Millis) (time.Duration, bool) {
+				return l.remainingOf(now, id, keyOf(task, run), estimate)
+			},
+			LongerThan: l.scheduler.timing.EvacuateWithin,
+			Moving:     moving,
+			Limit:      maxEvacuationMoves,
+		})
+	})
+	if len(chosen) == 0 {
+		return
+	}
+	l.mu.Lock()
+	for _, move := range chosen {
+		l.moving[move.Task] = move.Run
+	}
+	l.mu.Unlock()
+	l.goroutines.Go(func() { l.commitMoves(chosen) })
+}
+
+// forgetMoved forgets the moved tasks that are placed again or over.
+func (l *leader) forgetMoved() {
+	l.mu.Lock()
+	moving := maps.Clone(l.moving)
+	l.mu.Unlock()
+	for ref, run := range moving {
+		state, _, latest := l.scheduler.ledger.RunOf(ref)
+		if l.scheduler.ledger.IsLive(ref.Job) && state != graph.TaskDone && latest == run {
+			delete(moving, ref)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for ref := range moving {
+		delete(l.moving, ref)
+	}
+}
+
+// commitMoves commits that the runs are stopped, and stops them.
+func (l *leader) commitMoves(chosen []plan.Move) {
+	tasks := make([]graph.TaskRef, 0, len(chosen))
+	for _, move := range chosen {
+		tasks = append(tasks, move.Task)
+	}
+	if !l.commitEviction(tasks) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, ref := range tasks {
+			delete(l.moving, ref)
+		}
+		return
+	}
+	l.scheduler.metrics.evacuationMoves.Add(float64(len(chosen)))
+	for _, move := range chosen {
+		l.log.WithFields(logrus.Fields{
+			"job":       move.Task.Job,
+			"task":      move.Task.Name(),
+			"run":       move.Run,
+			"target":    move.Target.ID,
+			"remaining": move.Remaining.Milliseconds(),
+		}).Info("evacuation: checkpointed task is moved")
+	}
+}
+
+// remainingOf predicts how much longer a run takes that its target lists: from its progress, or
+// else from the time that others of its step took, or from its estimate.
+func (l *leader) remainingOf(now time.Time, id graph.TargetID, key runKey, estimate graph.Millis) (time.Duration, bool) {
+	d := l.driver(id)
+	if d == nil {
+		return 0, false
+	}
+	expected := cmp.Or(l.rater.LongestRun(plan.StepKeyOf(key.task)), time.Duration(estimate)*time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	info := d.runs[key]
+	if info == nil || info.state != runStarted || info.listedAt.IsZero() {
+		return 0, false
+	}
+	if at, known := info.progress.EstimatedCompletion(); known {
+		return at.Sub(now), true
+	}
+	return expected - now.Sub(info.listedAt), expected > 0
+}
--- a/internal/push/evacuate_test.go
+++ b/internal/push/evacuate_test.go
@@ -249,6 +249,36 @@
 	s.assertNoDoubleRuns()
 }
 
+// A task that saves checkpoints and runs for long is stopped and goes on elsewhere from its
+// checkpoint. Others run to their end in the evacuated domain, and so does one that the other
+// domain has no free room for.
+func TestCheckpointedTasksLeaveEvacuatedDomain(t *testing.T) {
+	s := newDomainFixture(t)
+	s.fleet.checkpoint = "state-1"
+	s.evacuate("west", false)
+	s.submit("a", longTasks(1))
+	checkpointed := longTasks(3)
+	checkpointed.Checkpoints = true
+	s.submit("b", checkpointed)
+	s.eventually(waitTimeout, "tasks run", func() bool { return s.runCount("w0") == 4 })
+	s.evacuate("west", true)
+	s.submit("c", longTasks(2))
+	s.eventually(waitTimeout, "others run", func() bool { return s.runCount("w1") == 2 })
+	s.evacuate("east", false)
+	s.eventually(waitTimeout, "two tasks are moved", func() bool { return s.runCount("w1") == 4 })
+	s.fleet.withLock(func() {
+		moved := s.fleet.starts[len(s.fleet.starts)-2:]
+		for _, start := range moved {
+			s.c.Check(start.Task.Job, qt.Equals, graph.JobID("b"))
+			s.c.Check(start.Run, qt.Equals, uint32(2))
+			s.c.Check(start.Checkpoint, qt.Equals, "state-1")
+		}
+	})
+	s.staysAt("w0", 2)
+	s.staysAt("w1", 4)
+	s.assertNoDoubleRuns()
+}
+
 // restartable is a group of three instances that can be stopped and started again on their
 // disks.
 type restartable struct {
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -97,6 +97,8 @@
 	// called with the target's name then.
 	deadlyTask graph.TaskRef
 	crashed    func(id string)
+	// checkpoint is what runs that are stopped have saved.
+	checkpoint string
 }
 
 var (
@@ -130,12 +132,16 @@
 	delete(t.running, ref)
 	t.seq++
 	t.highestRun[ref] = max(t.highestRun[ref], run)
-	t.ended = append(t.ended, EndedRun{
+	ended := EndedRun{
 		Seq:     t.seq,
 		Task:    ref,
 		Run:     run,
 		Outcome: outcome,
-	})
+	}
+	if outcome == graph.OutcomeStopped {
+		ended.Checkpoint = f.checkpoint
+	}
+	t.ended = append(t.ended, ended)
 }
 
 // lockTarget returns the target, or an error if the target does not answer or
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -53,6 +53,9 @@
 	// holds is the room held by the last decision. Only the decision loop uses
 	// it.
 	holds map[plan.StepKey]*plan.Hold
+	// movesCheckedAt is when the moves out of evacuated failure domains were last chosen.
+	// Only the decision loop uses it.
+	movesCheckedAt time.Time
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
@@ -66,6 +69,9 @@
 	// proposalsInFlight counts the proposals that contain them.
 	pendingPlacements map[graph.TaskRef]graph.TargetID
 	proposalsInFlight int
+	// moving has the runs that are stopped so that their tasks are placed outside of
+	// evacuated failure domains, by task, until that is done.
+	moving map[graph.TaskRef]uint32
 	// uncertainPlacements counts the placements whose commit is uncertain, by target.
 	uncertainPlacements map[graph.TargetID]int
 	// admittedAt has the admission times of the jobs that this leader admitted
@@ -112,6 +118,8 @@
 
 		uncertainPlacements: map[graph.TargetID]int{},
 
+		moving: map[graph.TaskRef]uint32{},
+
 		admittedAt: map[graph.JobID]time.Time{},
 
 		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -31,6 +31,9 @@
 	outlivingRuns prometheus.Counter
 	overdueOrders prometheus.Counter
 	lateEnds      prometheus.Counter
+	// evacuationMoves counts the tasks moved out of evacuated failure domains.
+	evacuationMoves prometheus.Counter
+
 	waiting       *prometheus.GaugeVec
 	commit        prometheus.Histogram
 	logSync       prometheus.Histogram
@@ -95,6 +98,8 @@
 			"Orders that reached this relay after the leader had given them up."),
 		lateEnds: counter("jasmineward_late_ends_total",
 			"Ends done of runs whose tasks had been put back."),
+		evacuationMoves: counter("jasmineward_evacuation_moves_total",
+			"Checkpointed tasks that this leader stopped in evacuated failure domains to run them elsewhere."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -116,7 +121,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.evacuationMoves, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/push/model_evacuate_test.go
+++ b/internal/push/model_evacuate_test.go
@@ -55,10 +55,12 @@
 
 // Both failure domains are evacuated at times, also at once, among the troubles of TestModel: no
 // task is started in one from some time after the acknowledgement until the withdrawal, through
-// any change of the leader, and nothing is lost. The relay is in the domain d1.
+// any change of the leader, and nothing is lost. Tasks that run longer than a moment are moved.
+// The relay is in the domain d1.
 func TestModelWithEvacuations(t *testing.T) {
 	playModels(t, *modelFirst, *modelSeeds, func(m *model) {
 		m.evacuates = []string{"d0", "d1"}
 		m.fleet.evacuated = map[string]time.Time{}
+		m.cell.scheduler.timing.EvacuateWithin = 300 * time.Millisecond
 	})
 }
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -439,6 +439,8 @@
 			Memory: 10,
 		},
 		Estimate: 1500,
+
+		Checkpoints: len(m.evacuates) > 0,
 	}
 	kind := m.random.IntN(6)
 	switch {
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -177,9 +177,16 @@
 			"task": ref.Name(),
 		}).Warn("sched: task stands still, it is moved")
 	}
+	l.commitEviction(tasks)
+}
+
+// commitEviction commits that tasks are stopped, and stops them. It reports whether that is
+// committed.
+func (l *leader) commitEviction(tasks []graph.TaskRef) bool {
 	if _, fault := l.propose(l.ctx, graph.Command{Evict: &graph.Evict{Tasks: tasks}}); fault != nil {
 		l.log.WithField("fault", fault.Error()).Warn("sched: eviction not committed")
-		return
+		return false
 	}
 	l.stopUndesired()
+	return true
 }
