--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -87,9 +87,14 @@
 	l.idleSince = decision.IdleSince
 	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
-	if len(decision.Groups) == 0 || busy {
-		return
+	if len(decision.Groups) > 0 && !busy {
+		l.startCommit(decision)
 	}
+	l.moveEvacuated(now, decision.WaitReasons)
+}
+
+// startCommit starts the commit of a decision's placements.
+func (l *leader) startCommit(decision plan.Decision) {
 	l.mu.Lock()
 	l.proposalsInFlight++
 	for _, group := range decision.Groups {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -58,6 +58,9 @@
 	decisions int
 	// durations learns how long tasks take, by queue.
 	durations rank.Ratios[string]
+	// movesCheckedAt is when the moves out of evacuated failure domains were last chosen.
+	// Only the decision loop uses it.
+	movesCheckedAt time.Time
 	// decisionPause is the pause after the last decision. Only the decision loop
 	// uses it.
 	decisionPause time.Duration
@@ -79,6 +82,9 @@
 	proposalsInFlight int
 	// flow bounds the proposals by the time of commits.
 	flow *commitFlow
+	// moving has the runs that are stopped so that their tasks are placed outside of
+	// evacuated failure domains, by task, until that is done.
+	moving map[graph.TaskRef]uint32
 	// uncertainPlacements counts the placements whose commit is uncertain, by target.
 	uncertainPlacements map[graph.TargetID]int
 	drivers             map[graph.TargetID]*driver
@@ -95,6 +101,9 @@
 
 	// configuring is a semaphore that is held while a configuration is being committed.
 	configuring chan struct{}
+	// evacuating is a semaphore that is held while an evacuation or its withdrawal is
+	// being committed.
+	evacuating chan struct{}
 
 	fenced     atomic.Bool
 	ctx        context.Context
@@ -122,6 +131,8 @@
 
 		admissions: newAdmissions(),
 
+		moving: map[graph.TaskRef]uint32{},
+
 		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
 		startLatency: delay.NewEstimator(minStartTimeout, s.timing.CallTimeout),
 
@@ -131,6 +142,7 @@
 		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
 		endedIncarnations: map[graph.TargetID]bool{},
 		configuring:       make(chan struct{}, 1),
+		evacuating:        make(chan struct{}, 1),
 		replaced:          map[graph.TargetID]bool{},
 		ctx:               ctx,
 		cancel:            cancel,
@@ -155,6 +167,7 @@
 // ledger.
 func (l *leader) start() {
 	targets := l.scheduler.ledger.Targets()
+	l.logEvacuations()
 	l.goroutines.Go(func() {
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -41,6 +41,9 @@
 	adviceBacklog  prometheus.Gauge
 	overload       *prometheus.CounterVec
 	putBehind      *prometheus.CounterVec
+	// evacuationMoves counts the tasks moved out of evacuated failure domains.
+	evacuationMoves prometheus.Counter
+
 	// adviceAnswers counts the advisor's answers, and adviceAnswersUsed those on
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
@@ -109,6 +112,8 @@
 		}),
 		withheld: counterVec("jasmineward_starts_withheld_total",
 			"Starts that were not sent because no valid ticket was left, by reason.", "reason"),
+		evacuationMoves: counter("jasmineward_evacuation_moves_total",
+			"Checkpointed tasks that this leader stopped in evacuated failure domains to run them elsewhere."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "jasmineward_steps_waiting",
 			Help: "Steps that this leader could not place at its last decision, by reason.",
@@ -133,7 +138,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled, m.putBehind,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled, m.putBehind, m.evacuationMoves,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -195,6 +200,8 @@
 		func(c graph.Counts) float64 { return float64(c.Used.CPU) / milliCoresPerCore })
 	gauge("jasmineward_cores", "Cores of all targets.",
 		func(c graph.Counts) float64 { return float64(c.Capacity.CPU) / milliCoresPerCore })
+	gauge("jasmineward_evacuated_domains", "Failure domains that are evacuated, as known here.",
+		func(c graph.Counts) float64 { return float64(c.Evacuated) })
 	gauge("jasmineward_configuration_version", "Version of the configuration in force here.",
 		func(c graph.Counts) float64 { return float64(c.Version) })
 }
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -222,6 +222,8 @@
 	troubles []func()
 	// lasting counts the jobs whose tasks last.
 	lasting int
+	// evacuates are the failure domains that are evacuated at times.
+	evacuates []string
 }
 
 func newModel(t *testing.T, seed uint64) *model {
@@ -444,6 +446,8 @@
 			Memory: 10,
 		},
 		Estimate: 1500,
+
+		Checkpoints: len(m.evacuates) > 0,
 	}
 	kind := m.random.IntN(6)
 	switch {
@@ -575,6 +579,10 @@
 	for _, trouble := range m.troubles {
 		troubles.Go(trouble)
 	}
+	for _, domain := range m.evacuates {
+		random := rand.New(rand.NewPCG(m.random.Uint64(), 0))
+		troubles.Go(func() { m.evacuateAtTimes(domain, random) })
+	}
 	troubles.Go(m.submitJobs)
 	troubles.Wait()
 	m.set(func() {
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -25,6 +25,7 @@
 	methodAdvise    = rpcServiceName + ".Advise"
 	methodRecall    = rpcServiceName + ".RecallAdvice"
 	methodOrder     = rpcServiceName + ".Order"
+	methodEvacuate  = rpcServiceName + ".Evacuate"
 
 	// serveTimeout bounds the handling of one call.
 	serveTimeout = 5 * time.Second
