--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -51,6 +51,9 @@
 	// OnLogSync is called with the duration of each synced write to the log. It
 	// may be nil.
 	OnLogSync func(time.Duration)
+	// OnLostLead is called with the reason whenever the instance has lost its
+	// leadership. It may be nil.
+	OnLostLead func(raft.LossReason)
 }
 
 // Host is one running instance of a group.
@@ -157,6 +160,17 @@
 	return h.failed
 }
 
+// ResentMessages returns how many messages of the log were sent again because a
+// connection was overdue.
+func (h *Host) ResentMessages() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.transport == nil {
+		return 0
+	}
+	return h.transport.Resent()
+}
+
 func (h *Host) cellName() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -130,6 +131,7 @@
 		Seed:              uint64(id.ID),
 	}, h.withSyncTiming(storage), h.transport, h.stateMachine,
 		raft.WithClock(bootClock()),
+		raft.WithLostLeadHandler(h.reportLostLead),
 		raft.WithSnapshotInterval(snapshotInterval),
 		raft.WithTrailingEntries(trailingEntries))
 	if err != nil {
@@ -145,6 +147,33 @@
 	return nil
 }
 
+// reportLostLead logs why the leadership ended and passes the reason to
+// Config.OnLostLead.
+func (h *Host) reportLostLead(lost raft.LostLead) {
+	fields := logrus.Fields{
+		"term":          lost.Term,
+		"reason":        lost.Reason,
+		"led":           lost.Led.Round(time.Millisecond),
+		"quorum-silent": lost.QuorumSilent.Round(time.Millisecond),
+	}
+	if lost.From != 0 {
+		fields["from"] = cmp.Or(h.addressOf(lost.From), strconv.FormatUint(uint64(lost.From), 10))
+		fields["higher-term"] = lost.HigherTerm
+	}
+	var silent []string
+	for _, s := range lost.Silent {
+		address := cmp.Or(h.addressOf(s.ID), strconv.FormatUint(uint64(s.ID), 10))
+		silent = append(silent, address+" for "+s.For.Round(time.Millisecond).String())
+	}
+	if len(silent) > 0 {
+		fields["silent"] = strings.Join(silent, ", ")
+	}
+	h.log.WithFields(fields).Warn("group: leadership ended")
+	if h.cfg.OnLostLead != nil {
+		h.cfg.OnLostLead(lost.Reason)
+	}
+}
+
 // timedStorage is a storage that reports the duration of each write to the log.
 type timedStorage struct {
 	raft.Storage
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -25,6 +25,7 @@
 	routes        *prometheus.CounterVec
 	runsEnded     *prometheus.CounterVec
 	electionsWon  prometheus.Counter
+	leadsLost     *prometheus.CounterVec
 	crashes       prometheus.Counter
 	jobsGivenUp   prometheus.Counter
 	adoptedRuns   prometheus.Counter
@@ -86,9 +87,11 @@
 			"Calls to targets by this leader, by the way they took.", "way"),
 		runsEnded:    counterVec("jasmineward_runs_ended_total", "Runs ended, by how.", "how"),
 		electionsWon: counter("jasmineward_elections_won_total", "How often this instance came to lead."),
-		crashes:      counter("jasmineward_targets_crashed_total", "Targets that crashed under tasks, as seen by this leader."),
-		jobsGivenUp:  counter("jasmineward_jobs_given_up_total", "Jobs that this leader gave up because targets crash under a task."),
-		adoptedRuns:  counter("jasmineward_runs_adopted_total", "Runs that may have outlived a replaced lifetime of their target."),
+		leadsLost: counterVec("jasmineward_leads_lost_total",
+			"Leaderships of this instance that ended, by reason.", "reason"),
+		crashes:     counter("jasmineward_targets_crashed_total", "Targets that crashed under tasks, as seen by this leader."),
+		jobsGivenUp: counter("jasmineward_jobs_given_up_total", "Jobs that this leader gave up because targets crash under a task."),
+		adoptedRuns: counter("jasmineward_runs_adopted_total", "Runs that may have outlived a replaced lifetime of their target."),
 		outlivingRuns: counter("jasmineward_runs_outliving_total",
 			"Runs kept beyond the lease of a silent target, as a later lifetime may hold them."),
 		overdueOrders: counter("jasmineward_orders_overdue_total",
@@ -116,7 +119,7 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.leadsLost, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -139,6 +142,14 @@
 	}, value))
 }
 
+// addCounter registers a counter whose value is read on each scrape.
+func (m *metrics) addCounter(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name,
+		Help: help,
+	}, value))
+}
+
 // AddGauge registers a gauge whose value is computed on each scrape.
 func (s *Scheduler) AddGauge(name, help string, value func() float64) {
 	s.metrics.addGauge(name, help, value)
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -38,6 +38,7 @@
 // the given interfaces.
 func NewScheduler(cfg group.Config, timing Timing, targets Targets, advisor Advisor, log *logrus.Logger) (*Scheduler, error) {
 	s := newScheduler(timing, targets, advisor, log)
+	cfg.OnLostLead = func(reason raft.LossReason) { s.metrics.leadsLost.WithLabelValues(string(reason)).Inc() }
 	cfg.OnLogSync = func(took time.Duration) { s.metrics.logSync.Observe(took.Seconds()) }
 	host, err := group.NewHost(cfg, s, log)
 	if err != nil {
@@ -49,6 +50,8 @@
 		func() float64 { all, _ := host.Voters(); return float64(all) })
 	s.AddGauge("jasmineward_voters_silent", "Voters that have not replied to this leader for a second.",
 		func() float64 { _, silent := host.Voters(); return float64(silent) })
+	s.metrics.addCounter("jasmineward_raft_resent_total", "Messages of the log sent again as a connection was overdue.",
+		func() float64 { return float64(host.ResentMessages()) })
 	if err := host.Server().RegisterConcurrent(rpcServiceName, &rpcService{scheduler: s}); err != nil {
 		return nil, err
 	}
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -184,6 +184,7 @@
 	// early holds appends that arrived before the entries that they follow.
 	early []Message
 
+	lostLeads    []LostLead
 	pendingReads []pendingRead
 	readyReads   []ReadState
 	failedReads  []uint64
@@ -303,6 +304,7 @@
 		return
 	}
 	if m.Term > c.term {
+		c.recordLoss(LossHigherTerm, m.From, m.Term)
 		c.becomeFollower(m.Term)
 	}
 	c.dispatch(m)
@@ -347,10 +349,12 @@
 func (c *Core) tickLeader() {
 	c.markCommit()
 	if !c.hasFreshQuorum() {
+		c.recordLoss(LossNoQuorum, 0, 0)
 		c.becomeFollower(c.term)
 		return
 	}
 	if c.transferee != 0 && c.now >= c.transferDeadline {
+		c.recordLoss(LossTransferTimeout, 0, 0)
 		c.becomeFollower(c.term)
 		return
 	}
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -82,6 +82,7 @@
 func (c *Core) onPreVoteReply(m Message) {
 	if m.Reject {
 		if m.Term > c.term {
+			c.recordLoss(LossHigherTerm, m.From, m.Term)
 			c.becomeFollower(m.Term)
 		}
 		return
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -288,6 +288,7 @@
 	c.commit = quorum
 	if !c.isVoter(c.cfg.ID) && c.membershipIndex <= c.commit {
 		c.broadcast()
+		c.recordLoss(LossRemoved, 0, 0)
 		c.becomeFollower(c.term)
 	}
 }
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -74,6 +74,7 @@
 	now              func() time.Duration
 	snapshotInterval uint64
 	trailingEntries  uint64
+	onLostLead       func(LostLead)
 
 	mu        sync.Mutex
 	inbox     []Message
@@ -140,6 +141,12 @@
 	return func(r *Replica) { r.now = now }
 }
 
+// WithLostLeadHandler sets a function that is called whenever a leadership of the replica
+// has ended. It must not block.
+func WithLostLeadHandler(handle func(LostLead)) ReplicaOption {
+	return func(r *Replica) { r.onLostLead = handle }
+}
+
 // newMonotonicClock returns a monotonic clock that starts at zero.
 func newMonotonicClock() func() time.Duration {
 	started := time.Now()
@@ -173,6 +180,7 @@
 		transport:        transport,
 		machine:          machine,
 		now:              newMonotonicClock(),
+		onLostLead:       func(LostLead) {},
 		snapshotInterval: defaultSnapshotInterval,
 		trailingEntries:  defaultTrailingEntries,
 		wake:             make(chan struct{}, 1),
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -117,6 +117,9 @@
 func (r *Replica) process() error {
 	for {
 		wasLeader := r.Status().Role == RoleLeader
+		for _, lost := range r.core.TakeLostLeads() {
+			r.onLostLead(lost)
+		}
 		ready := r.core.Ready()
 		r.send(ready.MessagesBeforeSync)
 		if ready.HardStateChanged || len(ready.Entries) > 0 {
