--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -215,10 +215,19 @@
 }
 
 // targetsToAsk iterates over the targets of the step's service in the order in
-// which the advisor is asked about them. Small accelerator work asks about the
+// which the advisor is asked about them, cold ones last.
+func (p *planner) targetsToAsk(step *pendingStep) iter.Seq[*targetState] {
+	targets := p.targetsByNeed(step)
+	if !p.anyCold {
+		return targets
+	}
+	return last(targets, func(target *targetState) bool { return target.cold })
+}
+
+// targetsByNeed iterates over the targets of the step's service. Small accelerator work asks about the
 // fullest targets first, since it should leave whole targets free; work without
 // accelerators asks about targets that have them last.
-func (p *planner) targetsToAsk(step *pendingStep) iter.Seq[*targetState] {
+func (p *planner) targetsByNeed(step *pendingStep) iter.Seq[*targetState] {
 	targets := p.targetsByFreeShare(p.input.View.ServiceOf(step.job))
 	if step.spec.Resources.Accelerators > 0 && !step.spec.Gang {
 		return func(yield func(*targetState) bool) {
@@ -232,16 +241,21 @@
 	if step.spec.Resources.Accelerators > 0 {
 		return rotated(targets, step.key)
 	}
+	return last(rotated(targets, step.key), func(target *targetState) bool { return target.info.Capacity.Accelerators > 0 })
+}
+
+// last iterates over the targets, those for which the condition holds after all others.
+func last(targets iter.Seq[*targetState], condition func(*targetState) bool) iter.Seq[*targetState] {
 	return func(yield func(*targetState) bool) {
-		var withAccelerators []*targetState
-		for target := range rotated(targets, step.key) {
-			if target.info.Capacity.Accelerators > 0 {
-				withAccelerators = append(withAccelerators, target)
+		var deferred []*targetState
+		for target := range targets {
+			if condition(target) {
+				deferred = append(deferred, target)
 			} else if !yield(target) {
 				return
 			}
 		}
-		for _, target := range withAccelerators {
+		for _, target := range deferred {
 			if !yield(target) {
 				return
 			}
--- a/internal/plan/move_test.go
+++ b/internal/plan/move_test.go
@@ -79,9 +79,9 @@
 	}
 	moving := map[graph.TaskRef]uint32{step.TaskRef(7): 1}
 	c.Check(f.moves(remaining, moving), qt.HasLen, 3)
-	// Tasks 3 to 7 take longer than 5 s.
+	// Of tasks 0 to 2 it is not known how long they take, and 3 to 5 take just 5 s.
 	for i := range 6 {
-		remaining[step.TaskRef(i)] = 0
+		remaining[step.TaskRef(i)] = time.Duration(i/3) * 5 * time.Second
 	}
 	c.Check(f.moves(remaining, nil), qt.HasLen, 2)
 	f.evacuate("east", true)
@@ -138,10 +138,12 @@
 	step := StepKey{Job: "a"}
 	f.advice[step] = newAdvice(f.now, "east0", "east1", "east2")
 	f.startIn("advised", newCheckpointed(8), 0)
-	c.Assert(f.ledger.RunCount(graph.TargetID{ID: "east0"}) > 0, qt.IsTrue)
+	running := 0
 	for i := range 3 {
+		running += f.ledger.RunCount(graph.TargetID{ID: fmt.Sprint("east", i)})
 		f.advice[step].Requested[fmt.Sprint("west", i)] = true
 	}
+	c.Assert(running, qt.Equals, 8)
 	c.Check(f.moves(nil, nil), qt.HasLen, 0)
 	// A ticket that has expired is renewed.
 	f.advice[step].Approved["west1"] = Ticket{}
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -18,6 +18,11 @@
 	// acceleratorPenalty outweighs the other differences between healthy
 	// targets: work without accelerators leaves targets that have them free.
 	acceleratorPenalty = 6.0
+	// urgentColdPenalty outweighs the speed and the rack of a target: urgent work avoids
+	// cold targets. It is below failedTargetPenalty. With coldPenalty other work prefers
+	// warm targets to cold ones on the rack of its data, but not to those with accelerators.
+	urgentColdPenalty = 12.0
+	coldPenalty       = 5.0
 	// urgentReserve is the fraction of a client account's limit that is
 	// reserved for its urgent work while it has any.
 	urgentReserve = 0.2
@@ -266,12 +271,23 @@
 	return -speed
 }
 
+// coldScore returns what is deducted from the score of a target that is slow after its start.
+func (s *pendingStep) coldScore(target *targetState) float64 {
+	switch {
+	case !target.cold:
+		return 0
+	case s.priority == 0:
+		return urgentColdPenalty
+	}
+	return coldPenalty
+}
+
 // score rates a target that fits the step. It considers speed, rack locality
 // with the step's data, colocation of tightly coupled tasks, and the separation
 // of best-effort tasks from latency-sensitive services. Fuller targets
 // score higher, which keeps large blocks of resources free for large tasks.
 func (p *planner) score(step *pendingStep, target *targetState) float64 {
-	score := step.speedScore(target.speed)
+	score := step.speedScore(target.speed) - step.coldScore(target)
 	if step.spec.Rack != "" && target.info.Rack == step.spec.Rack {
 		score += 4
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -86,6 +86,8 @@
 	Delayed func(graph.TaskRef) bool
 	// Speed returns the relative speed of the target; 1 is the default.
 	Speed func(graph.TargetID) float64
+	// Cold reports whether the target is still slow after its start. Nil stands for none.
+	Cold func(graph.TargetID) bool
 }
 
 // AdviceRequest is a request for advice on the targets for a step.
@@ -139,6 +141,8 @@
 	input     Input
 	byService map[string][]*targetState
 	byID      map[string]*targetState
+	// anyCold is true if a target is cold.
+	anyCold bool
 	// evacuatedServices contains the services with a usable target in an evacuated
 	// failure domain.
 	evacuatedServices map[string]bool
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -27,6 +27,8 @@
 	usable func(graph.TargetID) bool
 	// delayed is a task that is not to be placed yet.
 	delayed graph.TaskRef
+	// cold has the names of the targets that are slow after their start.
+	cold map[string]bool
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -113,6 +115,7 @@
 			Speed:  func(graph.TargetID) float64 { return 1 },
 
 			Delayed: func(ref graph.TaskRef) bool { return ref == f.delayed },
+			Cold:    func(id graph.TargetID) bool { return f.cold[id.ID] },
 		})
 	})
 	f.holds = d.Holds
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -19,6 +19,7 @@
 	// placedTasks counts the pending and newly placed tasks by step.
 	placedTasks map[StepKey]int
 	speed       float64
+	cold        bool
 	// initialFreeShare is the dominant share of the target's capacity that was
 	// free at the start of the decision.
 	initialFreeShare float64
@@ -58,8 +59,10 @@
 			older: p.input.View.OlderIncarnations(id),
 			free:  info.Free(),
 			speed: p.input.Speed(id),
+			cold:  p.input.Cold != nil && p.input.Cold(id),
 		})
 		target := &states[len(states)-1]
+		p.anyCold = p.anyCold || target.cold
 		for _, older := range target.older {
 			target.free = target.free.Sub(older.Used)
 		}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -181,6 +181,7 @@
 	}
 	if d := l.ensureDriver(known); d != nil {
 		d.recordHeartbeat(h.Clock)
+		d.recordCold(h.Cold)
 	}
 	return nil
 }
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -71,6 +71,7 @@
 			Pending:         pending,
 			Delayed:         func(task graph.TaskRef) bool { return l.restarts.isDelayed(task, now) },
 			Speed:           l.rater.Speed,
+			Cold:            func(id graph.TargetID) bool { return l.isCold(id, now) },
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -82,6 +82,8 @@
 	// usableUntil is a time.Duration since the leader's start, by the monotonic
 	// clock.
 	usableUntil atomic.Int64
+	// coldUntil is when the target will no longer be slow after its start, in the same way.
+	coldUntil atomic.Int64
 	// bestEffortBesideServices is true while best-effort tasks run beside
 	// services.
 	bestEffortBesideServices bool
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -84,6 +84,7 @@
 	}
 	s.metrics.addLedgerGauges(s.ledger)
 	s.AddGauge("jasmineward_targets_silent", "Targets that did not answer this leader's last call.", s.silentTargets)
+	s.AddGauge("jasmineward_targets_cold", "Targets that are slow after their start, as this leader knows.", s.coldTargets)
 	s.AddGauge("jasmineward_configuration_age_seconds", "Time since the configuration came into force here.",
 		func() float64 { return ageSeconds(graph.Millis(s.configuredAt.Load()), time.Now()) })
 	return s
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -156,4 +156,6 @@
 type Heartbeat struct {
 	Announce graph.Announcement
 	Clock    Clock
+	// Cold is how much longer the target will be slow after its start.
+	Cold time.Duration `cbor:",omitempty"`
 }
