--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -105,6 +105,8 @@
 	IdleSince map[graph.JobID]graph.Millis
 	// Turn counts the decisions.
 	Turn int
+	// Cold reports whether the target is still slow after its start. Nil stands for none.
+	Cold func(graph.TargetID) bool
 }
 
 // AdviceRequest is a request for advice on the targets for a step.
@@ -167,6 +169,8 @@
 	input     Input
 	byService map[string][]*targetState
 	byID      map[string]*targetState
+	// anyCold is true if a target is cold.
+	anyCold bool
 	// evacuatedServices contains the services with a usable target in an evacuated
 	// failure domain.
 	evacuatedServices map[string]bool
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -36,6 +36,8 @@
 	// overRate and durationRatio are passed to the decisions.
 	overRate      func(graph.JobID) bool
 	durationRatio func(string) float64
+	// cold has the names of the targets that are slow after their start.
+	cold map[string]bool
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -127,6 +129,7 @@
 			DurationRatio: f.durationRatio,
 			IdleSince:     f.idleSince,
 			Turn:          f.turn,
+			Cold:          func(id graph.TargetID) bool { return f.cold[id.ID] },
 		})
 	})
 	f.holds = d.Holds
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -77,6 +77,7 @@
 			OverRate:        l.admissions.isOverRate,
 			IdleSince:       l.idleSince,
 			Turn:            l.decisions,
+			Cold:            func(id graph.TargetID) bool { return l.isCold(id, now) },
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
