--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -147,8 +147,8 @@
 	return ordered
 }
 
-// loadPools sums up the resources of the services' targets, and what the steps and the
-// pending placements ask for.
+// loadPools sums up the resources of the services' targets, and what the steps ask for beside
+// their pending placements.
 func (p *planner) loadPools(steps []*pendingStep) {
 	for service, targets := range p.byService {
 		pool := p.poolOf(service)
@@ -157,19 +157,30 @@
 			pool.free = pool.free.Add(target.free)
 		}
 	}
+	pending := p.recordPending()
 	for _, step := range steps {
+		if len(pending) > 0 {
+			step.waiting -= pending[step.key]
+		}
 		account := p.accountOf(step.job)
 		account.demand = account.demand.Add(step.spec.Reservation().Times(step.waiting))
 	}
+}
+
+// recordPending adds the pending placements to what their client accounts use, and returns
+// their number by step.
+func (p *planner) recordPending() map[StepKey]int {
+	pending := map[StepKey]int{}
 	for ref := range p.input.Pending {
 		job := p.input.View.Jobs()[ref.Job]
 		if job == nil || job.Task(ref) == nil || job.Task(ref).State != graph.TaskWaiting {
 			continue
 		}
-		account, reserved := p.accountOf(job), job.Spec.Steps[ref.Step].Reservation()
-		account.used = account.used.Add(reserved)
-		account.demand = account.demand.Sub(reserved)
+		account := p.accountOf(job)
+		account.used = account.used.Add(job.Spec.Steps[ref.Step].Reservation())
+		pending[StepKeyOf(ref)]++
 	}
+	return pending
 }
 
 // areResourcesShort reports whether the waiting work of a service asks for more than
--- a/internal/plan/order_test.go
+++ b/internal/plan/order_test.go
@@ -149,16 +149,10 @@
 			accounts = weighted(1, 5)
 		}
 		f.setAccounts(accounts...)
+		f.callsLeft = 50
 		submitMixed(f, random, 14)
 		f.ledger.View(f.now, func(v *graph.View) {
-			p := newPlanner(Input{
-				View:            v,
-				Now:             f.now,
-				Advice:          func(StepKey) *StepAdvice { return nil },
-				FreeAdviceCalls: func(time.Duration) int { return 50 },
-				Usable:          func(graph.TargetID) bool { return true },
-				Speed:           func(graph.TargetID) float64 { return 1 },
-			})
+			p := newPlanner(f.input(v))
 			steps := p.pendingSteps()
 			p.loadTargets()
 			var got []StepKey
@@ -368,3 +362,111 @@
 	f.decide()
 	c.Check(f.idleSince, qt.DeepEquals, map[graph.JobID]graph.Millis{"a": admitted + 1000})
 }
+
+// entries returns the steps in their order, with what it depends on.
+func (f *fixture) entries() []*rank.Entry[*pendingStep] {
+	var entries []*rank.Entry[*pendingStep]
+	f.ledger.View(f.now, func(v *graph.View) {
+		p := newPlanner(f.input(v))
+		steps := p.pendingSteps()
+		p.loadTargets()
+		entries = p.orderSteps(steps)
+	})
+	return entries
+}
+
+// Placements that are being committed count as used by their account, and their tasks do not
+// count again as waiting.
+func TestPendingPlacementsCountOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(10, quota.Resources{})
+	f.setAccounts(weighted(1, 1)...)
+	for i := range 9 {
+		f.submitAs("b", "batch", graph.JobID(fmt.Sprintf("b%02d", i)), newStep(1, 4000))
+	}
+	f.pending = map[graph.TaskRef]graph.TargetID{}
+	for _, group := range f.decide().Groups {
+		f.pending[group[0].Task] = group[0].Target
+	}
+	c.Assert(f.pending, qt.HasLen, 9)
+	for i := range 10 {
+		f.submitAs("b", "batch", graph.JobID(fmt.Sprintf("c%02d", i)), newStep(1, 4000))
+	}
+	for i := range 20 {
+		f.submitAs("a", "batch", graph.JobID(fmt.Sprintf("d%02d", i)), newStep(1, 4000))
+	}
+	jobs := jobsInOrder(f.decide())
+	c.Assert(jobs, qt.HasLen, 11)
+	c.Check(jobs[0], qt.Equals, graph.JobID("c00"))
+	c.Check(jobs[1], qt.Equals, graph.JobID("d00"))
+	c.Check(jobs[10], qt.Equals, graph.JobID("d09"))
+}
+
+// The bound on the wait of an idle job holds while its account uses under half of its limit.
+func TestStarvingNeedsRoomInLimit(t *testing.T) {
+	for used, starving := range map[quota.MilliCPU]bool{
+		4000: true,
+		6000: false,
+	} {
+		c := qt.New(t)
+		f := newFixture(4, quota.Resources{})
+		accounts := weighted(1)
+		accounts[0].Limit = quota.Resources{CPU: 10_000}
+		f.setAccounts(accounts...)
+		f.submitAs("a", "batch", "running", newStep(1, used))
+		f.commit(f.decide())
+		f.submitAs("a", "advised", "idle", newStep(1, 1000))
+		f.advisorBusy = true
+		f.now = f.now.Add(1400 * time.Millisecond)
+		c.Check(f.entries()[0].Starving, qt.IsFalse)
+		f.now = f.now.Add(200 * time.Millisecond)
+		c.Check(f.entries()[0].Starving, qt.Equals, starving)
+	}
+}
+
+// Calls in progress count for the account's share of the calls.
+func TestCallsInFlightCountForShare(t *testing.T) {
+	f := newFixture(60, quota.Resources{})
+	f.setAccounts(weighted(1, 1)...)
+	for i := range 28 {
+		id := graph.JobID(fmt.Sprintf("a%02d", i))
+		f.submitAs("a", "advised", id, newStep(1, 100))
+		if i < 8 {
+			f.advice[StepKey{Job: id}] = &StepAdvice{InFlight: true}
+		}
+	}
+	for i := range 20 {
+		f.submitAs("b", "advised", graph.JobID(fmt.Sprintf("b%02d", i)), newStep(1, 100))
+	}
+	count := map[byte]int{}
+	for _, request := range f.decide().AdviceRequests {
+		count[request.Step.Job[0]]++
+	}
+	qt.Check(t, count, qt.DeepEquals, map[byte]int{
+		'a': 4,
+		'b': 12,
+	})
+}
+
+// What is left of a job is the longest chain of its steps that are not done. Of a step that
+// runs only what follows counts, and each step that waits needs a call where its queue does.
+func TestRestOfJob(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(1, quota.Resources{})
+	f.setAccounts(weighted(1)...)
+	first, second, other := newStep(1, 8000), newStep(1, 8000), newStep(1, 8000)
+	first.Estimate = 5000
+	second.DependsOn = []int{0}
+	other.Estimate = 400
+	f.submitAs("a", "batch", "j", first, second, other)
+	c.Check(f.entries()[0].Work.Rest, qt.Equals, 6*time.Second)
+	f.commit(f.decide())
+	entries := f.entries()
+	c.Assert(entries, qt.HasLen, 1)
+	c.Check(entries[0].Work.Rest, qt.Equals, time.Second)
+	c.Check(entries[0].Work.Path, qt.Equals, 6*time.Second)
+	f.durationRatio = func(string) float64 { return 2 }
+	c.Check(f.entries()[0].Work.Rest, qt.Equals, 2*time.Second)
+	f.submitAs("a", "advised", "k", first, second)
+	c.Check(f.entries()[0].Work.Rest, qt.Equals, 12*time.Second+2*496*time.Millisecond)
+}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -33,7 +33,8 @@
 	// idleSince is from the last decision, and turn counts the decisions.
 	idleSince map[graph.JobID]graph.Millis
 	turn      int
-	// overRate and durationRatio are passed to the decisions.
+	// pending, overRate and durationRatio are passed to the decisions.
+	pending       map[graph.TaskRef]graph.TargetID
 	overRate      func(graph.JobID) bool
 	durationRatio func(string) float64
 }
@@ -106,35 +107,39 @@
 
 func (f *fixture) decide() Decision {
 	var d Decision
-	f.ledger.View(f.now, func(v *graph.View) {
-		d = Decide(Input{
-			View:            v,
-			Now:             f.now,
-			Advice:          func(key StepKey) *StepAdvice { return f.advice[key] },
-			ApprovalRate:    func(string) float64 { return 0.5 },
-			FreeAdviceCalls: func(time.Duration) int { return f.freeAdviceCalls() },
-			Holds:           f.holds,
-			ExpectedEnd: func(_ graph.TargetID, ref graph.TaskRef, _ uint32) (time.Time, bool) {
-				at, known := f.expectedEnds[ref]
-				return at, known
-			},
-			Usable: func(id graph.TargetID) bool { return f.usable == nil || f.usable(id) },
-			Speed:  func(graph.TargetID) float64 { return 1 },
-
-			Delayed: func(ref graph.TaskRef) bool { return ref == f.delayed },
-
-			OverRate:      f.overRate,
-			DurationRatio: f.durationRatio,
-			IdleSince:     f.idleSince,
-			Turn:          f.turn,
-		})
-	})
+	f.ledger.View(f.now, func(v *graph.View) { d = Decide(f.input(v)) })
 	f.holds = d.Holds
 	f.idleSince = d.IdleSince
 	f.turn++
 	return d
 }
 
+// input returns the input of a decision.
+func (f *fixture) input(v *graph.View) Input {
+	return Input{
+		View:            v,
+		Now:             f.now,
+		Advice:          func(key StepKey) *StepAdvice { return f.advice[key] },
+		ApprovalRate:    func(string) float64 { return 0.5 },
+		FreeAdviceCalls: func(time.Duration) int { return f.freeAdviceCalls() },
+		Holds:           f.holds,
+		ExpectedEnd: func(_ graph.TargetID, ref graph.TaskRef, _ uint32) (time.Time, bool) {
+			at, known := f.expectedEnds[ref]
+			return at, known
+		},
+		Usable: func(id graph.TargetID) bool { return f.usable == nil || f.usable(id) },
+		Speed:  func(graph.TargetID) float64 { return 1 },
+
+		Delayed: func(ref graph.TaskRef) bool { return ref == f.delayed },
+
+		Pending:       f.pending,
+		OverRate:      f.overRate,
+		DurationRatio: f.durationRatio,
+		IdleSince:     f.idleSince,
+		Turn:          f.turn,
+	}
+}
+
 // freeCalls is how many advice calls the fixture's advisor serves at once.
 const freeCalls = 16
 
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -15,7 +15,8 @@
 	key   StepKey
 	spec  *graph.Step
 	tasks []graph.Task
-	// waiting counts the tasks that wait, with those whose placement is pending.
+	// waiting counts the tasks that wait, from loadPools on without those whose placement
+	// is pending.
 	waiting  int
 	priority int
 	// work is what the order depends on.
