--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -33,6 +33,9 @@
 	ID string
 	// StartsAt is when the tasks for which room is held are expected to fit.
 	StartsAt time.Time
+
+	// room is what other work may use meanwhile.
+	room *holds.Hold
 }
 
 // has reports whether room is held on the target.
@@ -81,6 +84,44 @@
 // fit first: for all members of a gang or none, and for as many other tasks as fit
 // soon enough. A target is held for one step only. It returns nil if it holds none.
 func (p *planner) holdRoom(step *pendingStep, advice *StepAdvice) *Hold {
+	if p.input.KeepHolds {
+		if hold, kept := p.keepHold(step); kept {
+			return hold
+		}
+	}
+	hold := p.computeHold(step, advice)
+	if hold == nil {
+		p.decision.Unheld[step.key] = true
+	}
+	return hold
+}
+
+// keepHold takes over the hold of the previous decision, or that there was none. It returns
+// false if that decision did not consider the step, or if a target of the hold is gone or
+// held for another step.
+func (p *planner) keepHold(step *pendingStep) (hold *Hold, kept bool) {
+	if p.input.Unheld[step.key] {
+		p.decision.Unheld[step.key] = true
+		return nil, true
+	}
+	hold = p.input.Holds[step.key]
+	if hold == nil {
+		return nil, false
+	}
+	for _, held := range hold.Targets {
+		if target := p.byID[held.ID]; target == nil || target.hold != nil {
+			return nil, false
+		}
+	}
+	for _, held := range hold.Targets {
+		p.byID[held.ID].hold = held.room
+	}
+	p.decision.Holds[step.key] = hold
+	return hold, true
+}
+
+// computeHold finds the targets for holdRoom.
+func (p *planner) computeHold(step *pendingStep, advice *StepAdvice) *Hold {
 	maxAhead := time.Duration(step.spec.Estimate) * time.Millisecond * maxHoldFactor
 	missing := p.waitingTasks(step)
 	var chosen []fitOption
@@ -121,14 +162,16 @@
 func (p *planner) recordHold(step *pendingStep, chosen []fitOption) *Hold {
 	hold := &Hold{}
 	for _, option := range chosen {
-		option.target.hold = &holds.Hold{
+		room := &holds.Hold{
 			StartsAt: option.at,
 			Surplus:  option.timeline.FreeAt(option.at).Sub(step.spec.Reservation().Times(option.count)),
 		}
 		hold.Targets = append(hold.Targets, HeldTarget{
 			ID:       option.target.info.ID.ID,
 			StartsAt: option.at,
+			room:     room,
 		})
+		option.target.hold = room
 	}
 	p.decision.Holds[step.key] = hold
 	return hold
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -82,8 +82,13 @@
 	Renew func(StepKey) bool
 	// ExpectedEnd predicts the end of a run from its progress, or returns false.
 	ExpectedEnd func(id graph.TargetID, task graph.TaskRef, run uint32) (time.Time, bool)
-	// Holds has the room held by the previous decision.
-	Holds map[StepKey]*Hold
+	// Holds has the room held by the previous decision, and Unheld the steps for which it
+	// found none to hold.
+	Holds  map[StepKey]*Hold
+	Unheld map[StepKey]bool
+	// KeepHolds is set if both are recent enough to be kept. To compute them takes most
+	// of a decision's time.
+	KeepHolds bool
 	// MaxPlacements limits the tasks placed by the decision further than maxPlacements. Zero
 	// does not.
 	MaxPlacements int
@@ -153,8 +158,10 @@
 	// AdviceRequests are in the order of urgency. There may be more of them
 	// than calls can be made now.
 	AdviceRequests []AdviceRequest
-	// Holds has the room that is held for gangs and large tasks that wait.
-	Holds map[StepKey]*Hold
+	// Holds has the room that is held for gangs and large tasks that wait, and Unheld
+	// the other steps that need some.
+	Holds  map[StepKey]*Hold
+	Unheld map[StepKey]bool
 	// WaitReasons gives the reason for each step that still has waiting tasks.
 	WaitReasons map[StepKey]WaitReason
 	// PutBehind has those of these steps that were put behind others.
@@ -217,6 +224,7 @@
 		ratioByQueue: map[string]float64{},
 	}
 	p.decision.Holds = map[StepKey]*Hold{}
+	p.decision.Unheld = map[StepKey]bool{}
 	p.decision.Tickets = map[graph.TaskRef]Ticket{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
 	p.decision.IdleSince = map[graph.JobID]graph.Millis{}
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -18,6 +18,9 @@
 	// maxDecisionInterval is how often decisions are made when nothing
 	// requests one sooner.
 	maxDecisionInterval = 100 * time.Millisecond
+	// holdInterval is the time after which held room is computed anew from the predicted
+	// ends of runs, which change little in that time.
+	holdInterval = 100 * time.Millisecond
 	// decisionPauseFactor is the ratio of the pause after a decision to its time.
 	decisionPauseFactor = 8
 )
@@ -58,6 +61,10 @@
 	}
 	var decision plan.Decision
 	now := time.Now()
+	keepHolds := now.Sub(l.holdsComputedAt) < holdInterval
+	if !keepHolds {
+		l.holdsComputedAt = now
+	}
 	l.scheduler.ledger.View(now, func(v *graph.View) {
 		decision = plan.Decide(plan.Input{
 			View:            v,
@@ -69,6 +76,8 @@
 			MaxPlacements:   limits.placements,
 			ExpectedEnd:     l.expectedEnd,
 			Holds:           l.holds,
+			Unheld:          l.unheld,
+			KeepHolds:       keepHolds,
 			Usable:          func(id graph.TargetID) bool { return l.usable(id, now) },
 			Pending:         pending,
 			Delayed:         func(task graph.TaskRef) bool { return l.restarts.isDelayed(task, now) },
@@ -84,7 +93,7 @@
 	l.waitLog.update(now, decision)
 	l.admissions.recordWaits(decision.WaitReasons, now)
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
-	l.holds = decision.Holds
+	l.holds, l.unheld = decision.Holds, decision.Unheld
 	l.idleSince = decision.IdleSince
 	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -49,9 +49,11 @@
 	restarts *restarts
 	// doneTasks has the tasks that are done, as late ends of their runs have told.
 	doneTasks *doneTasks
-	// holds is the room held by the last decision. Only the decision loop uses
-	// it.
-	holds map[plan.StepKey]*plan.Hold
+	// holds is the room held by the last decision, and unheld the steps for which it found
+	// none. They were computed at holdsComputedAt. Only the decision loop uses them.
+	holds           map[plan.StepKey]*plan.Hold
+	unheld          map[plan.StepKey]bool
+	holdsComputedAt time.Time
 	// idleSince is from the last decision, and decisions counts them. Only the decision
 	// loop uses them.
 	idleSince map[graph.JobID]graph.Millis
