--- a/internal/group/member.go
+++ b/internal/group/member.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		calls.Go(func() {
-			_, err := CallAddress[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, args, helloTimeout)
+			_, err := h.callHello(address, args, helloTimeout)
 			if err != nil {
 				h.log.WithError(err).WithField("instance", address).Debug("group: leadership not announced")
 				return
@@ -137,9 +137,9 @@
 // zero for an instance of an earlier release. If there is no reply within the limit, Ping
 // closes the connection, so that all pending calls on it fail at once.
 func (h *Host) Ping(address string, limit time.Duration) (wire.ProcessClock, error) {
-	reply, err := CallAddress[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, h.router.helloArgs(), limit)
+	reply, err := h.callHello(address, h.router.helloArgs(), limit)
 	if err != nil {
-		h.router.Client(address).Reset()
+		h.router.Pair(address).Reset()
 	}
 	return reply.Value.Clock, err
 }
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -17,6 +17,11 @@
 	pingInterval = 400 * time.Millisecond
 	// callTimeout bounds one attempt of a call to the leader.
 	callTimeout = 1500 * time.Millisecond
+	// A call is made a second time, over another connection, when nothing was received
+	// from the peer for hedgeHello or hedgeCall. A Hello call is answered at once, and a
+	// call to the leader mostly after a commit.
+	hedgeHello = 80 * time.Millisecond
+	hedgeCall  = 120 * time.Millisecond
 	// The delay between attempts of a call starts at minBackoff and doubles up to
 	// maxBackoff.
 	minBackoff = 10 * time.Millisecond
@@ -48,7 +53,7 @@
 	host *Host
 
 	mu          sync.Mutex
-	pingClient  *peer.Client
+	pingClient  *peer.Pair
 	pingAddress string
 	// confirmedAt is the time of the leader's latest reply, and repliedAt that
 	// of the latest reply of another peer.
@@ -98,11 +103,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.host.ctx, helloTimeout)
 	defer cancel()
-	var reply wire.Reply[wire.HelloReply]
 	client := r.pingClientFor(address)
-	if err := client.Call(ctx, methodHello, r.helloArgs(), &reply); err != nil {
+	reply, err := peer.CallHedged[wire.Reply[wire.HelloReply]](ctx, client, methodHello, r.helloArgs(), hedgeHello)
+	if err != nil {
 		client.Reset()
-		r.Client(address).Reset()
+		r.Pair(address).Reset()
 		r.markLost(address)
 		r.host.log.WithError(err).WithField("leader", address).Warn("router: leader lost")
 		r.FindLeader(r.host.ctx, r.searchLeader)
@@ -153,7 +158,7 @@
 	old := r.Leader()
 	r.followSuggestion(address, address)
 	if old != "" && old != address {
-		r.Client(old).Reset()
+		r.Pair(old).Reset()
 		r.host.log.WithField("leader", address).Info("router: leader announced itself")
 	}
 }
@@ -164,9 +169,9 @@
 	return &wire.HelloArgs{Name: r.host.cfg.Address}
 }
 
-// pingClientFor returns the client for pings to the address. It closes the one
+// pingClientFor returns the clients for pings to the address. It closes those
 // for an earlier address.
-func (r *router) pingClientFor(address string) *peer.Client {
+func (r *router) pingClientFor(address string) *peer.Pair {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pingAddress != address && r.pingClient != nil {
@@ -174,7 +179,7 @@
 		r.pingClient = nil
 	}
 	if r.pingClient == nil {
-		r.pingClient = r.host.dialer.NewClient(address)
+		r.pingClient = r.host.dialer.NewPair(address)
 		r.pingAddress = address
 	}
 	return r.pingClient
@@ -273,7 +278,7 @@
 	if address == "" || address == h.cfg.Address {
 		return reply, peer.ErrUnreachable
 	}
-	return CallAddress[A, V](ctx, h, address, method, args, callTimeout)
+	return callHedged[A, V](ctx, h, address, method, args, callTimeout, hedgeCall)
 }
 
 // CallAddress makes one call to the instance at the address.
@@ -285,12 +290,31 @@
 	// After a timeout a late response may still be decoded into reply, so reply
 	// must not be shared with the caller.
 	reply := &wire.Reply[V]{}
-	if err := h.router.Client(address).Call(ctx, method, args, reply); err != nil {
+	if err := h.router.Pair(address).Call(ctx, method, args, reply); err != nil {
 		return wire.Reply[V]{}, err
 	}
 	return *reply, nil
 }
 
+// callHedged makes an idempotent call to the instance at the address, a second time over
+// another connection if the first one is overdue (see peer.CallHedged).
+func callHedged[A, V any](
+	ctx context.Context, h *Host, address, method string, args *A, limit, after time.Duration,
+) (wire.Reply[V], error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := peer.CallHedged[wire.Reply[V]](ctx, h.router.Pair(address), method, args, after)
+	if err != nil {
+		return wire.Reply[V]{}, err
+	}
+	return *reply, nil
+}
+
+// callHello sends a Hello call to the instance at the address.
+func (h *Host) callHello(address string, args *wire.HelloArgs, limit time.Duration) (wire.Reply[wire.HelloReply], error) {
+	return callHedged[wire.HelloArgs, wire.HelloReply](h.ctx, h, address, methodHello, args, limit, hedgeHello)
+}
+
 // SleepContext waits for the duration or until the context ends. It reports
 // whether the duration has passed.
 func SleepContext(ctx context.Context, wait time.Duration) bool {
--- a/internal/group/search.go
+++ b/internal/group/search.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/jasmineward/jasmineward/internal/peer"
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
@@ -51,8 +52,8 @@
 
 // queryPeer sends a Hello call to the address.
 func (r *router) queryPeer(ctx context.Context, address string) peerReply {
-	var reply wire.Reply[wire.HelloReply]
-	if err := r.Client(address).Call(ctx, methodHello, r.helloArgs(), &reply); err != nil {
+	reply, err := peer.CallHedged[wire.Reply[wire.HelloReply]](ctx, r.Pair(address), methodHello, r.helloArgs(), hedgeHello)
+	if err != nil {
 		r.host.log.WithError(err).WithField("peer", address).Debug("router: peer did not answer")
 		return peerReply{address: address}
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -66,7 +67,8 @@
 	return d
 }
 
-func (d *Dialer) dial(ctx context.Context, address string, mode byte) (*rpc.Client, error) {
+// dial establishes a connection that records in received when bytes are read.
+func (d *Dialer) dial(ctx context.Context, address string, mode byte, received *atomic.Int64) (*rpc.Client, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -85,8 +87,9 @@
 		return nil, errors.Wrapf(ErrUnreachable, "%s: %s", address, err)
 	}
 	return rpc.NewClientWithCodec(clientCodec{newFramedConn(countingConn{
-		Conn:    conn,
-		traffic: d.traffic,
+		Conn:     conn,
+		traffic:  d.traffic,
+		received: received,
 	})}), nil
 }
 
@@ -106,6 +109,14 @@
 	// timeouts counts the calls that have timed out since the last reply.
 	timeouts  int
 	lastReply time.Time
+	// received is when bytes were last read, in nanoseconds of Unix time.
+	received atomic.Int64
+}
+
+// receivedSince reports whether anything was received on a connection of the client
+// after the time.
+func (c *Client) receivedSince(at time.Time) bool {
+	return c.received.Load() > at.UnixNano()
 }
 
 // NewClient returns a client whose calls the server handles concurrently.
@@ -168,7 +179,7 @@
 
 // dial establishes the connection and ends the dial in progress.
 func (c *Client) dial(ctx context.Context) (*rpc.Client, error) {
-	conn, err := c.dialer.dial(ctx, c.address, c.mode)
+	conn, err := c.dialer.dial(ctx, c.address, c.mode, &c.received)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.dialing)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -177,12 +177,18 @@
 type countingConn struct {
 	net.Conn
 	traffic *Traffic
+	// received takes the time of each read, in nanoseconds of Unix time, unless it is
+	// nil.
+	received *atomic.Int64
 }
 
 // Read reads from the connection and counts the bytes.
 func (c countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.Read.Add(int64(n))
+	if c.received != nil && n > 0 {
+		c.received.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -12,14 +12,14 @@
 // leader's: peers may keep reporting it for a while after the leader has gone.
 const failureTTL = 300 * time.Millisecond
 
-// Table holds what an instance knows about the other instances: a client for
+// Table holds what an instance knows about the other instances: the clients for
 // each address, the membership and the address of the leader. It is safe for
 // concurrent use.
 type Table struct {
 	dialer *Dialer
 
 	mu            sync.Mutex
-	clients       map[string]*Client
+	pairs         map[string]*Pair
 	leader        string
 	failedAddress string
 	failedAt      time.Time
@@ -32,21 +32,26 @@
 // NewTable returns an empty table whose clients connect through the dialer.
 func NewTable(dialer *Dialer) *Table {
 	return &Table{
-		dialer:  dialer,
-		clients: map[string]*Client{},
+		dialer: dialer,
+		pairs:  map[string]*Pair{},
 	}
 }
 
 // Client returns the client for the address, which it creates on first use.
 func (t *Table) Client(address string) *Client {
+	return t.Pair(address).first
+}
+
+// Pair returns the pair of clients for the address, which it creates on first use.
+func (t *Table) Pair(address string) *Pair {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	client := t.clients[address]
-	if client == nil {
-		client = t.dialer.NewClient(address)
-		t.clients[address] = client
+	pair := t.pairs[address]
+	if pair == nil {
+		pair = t.dialer.NewPair(address)
+		t.pairs[address] = pair
 	}
-	return client
+	return pair
 }
 
 // Leader returns the leader's address, or "" while none is known.
@@ -166,7 +171,7 @@
 func (t *Table) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, client := range t.clients {
-		client.Close()
+	for _, pair := range t.pairs {
+		pair.Close()
 	}
 }
