--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// sendQueueSize is the maximum number of messages of each class queued for one
-	// replica.
-	sendQueueSize = 4096
+	// controlQueueSize and entriesQueueSize are the maximum numbers of messages queued
+	// for one replica. Those without entries are small, and outdated soon.
+	controlQueueSize = 1024
+	entriesQueueSize = 4096
 	// baseLanes is the number of lanes that are kept to a replica, and maxLanes that of
 	// the lanes while some are overdue. A loss of 5% holds up a busy lane about half of
 	// the time, and four all at once seldom.
@@ -102,8 +103,9 @@
 		replies:   make(chan *rpc.Call, maxLanes*maxInFlight),
 		allowance: maxResendBytes,
 	}
-	for c := range l.queues {
-		l.queues[c] = make(chan raft.Message, sendQueueSize)
+	l.queues[classControl] = make(chan raft.Message, controlQueueSize)
+	l.queues[classEntries] = make(chan raft.Message, entriesQueueSize)
+	for c := range l.roundTrip {
 		l.roundTrip[c] = initialRoundTrip
 	}
 	return l
