--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -17,7 +17,6 @@
 		case <-r.ctx.Done():
 			return
 		case <-ticker.C:
-			r.core.Tick(r.clock())
 		case <-r.wake:
 		}
 		r.drainInputs()
@@ -32,7 +31,9 @@
 	}
 }
 
-// drainInputs processes the queued messages, calls and proposals.
+// drainInputs processes the queued messages, the timeouts that have expired, and the
+// queued calls and proposals. Messages come first: those that arrived during a slow sync
+// may tell that the leader is there, or that a quorum still follows this one.
 func (r *Replica) drainInputs() {
 	r.mu.Lock()
 	inbox, proposals, calls := r.inbox, r.proposals, r.calls
