--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"math"
 	"slices"
 	"time"
 
@@ -460,6 +461,20 @@
 	return v.ledger.usageByClientAccount[name], v.ledger.config.clientAccounts[name]
 }
 
+// UrgentPriority returns the most urgent priority of the queues, or false if all queues have
+// the same.
+func (v *View) UrgentPriority() (int, bool) {
+	if v.ledger.config == nil {
+		return 0, false
+	}
+	lowest, highest := math.MaxInt, math.MinInt
+	for _, queue := range v.ledger.config.queues {
+		lowest = min(lowest, queue.Priority)
+		highest = max(highest, queue.Priority)
+	}
+	return lowest, lowest < highest
+}
+
 // HasWeights reports whether a client account has a weight.
 func (v *View) HasWeights() bool {
 	if v.ledger.config == nil {
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -41,7 +41,8 @@
 // requestAdvice requests advice that the step needs for its waiting tasks to
 // start. It requests none that would not let a task start soon.
 func (p *planner) requestAdvice(step *pendingStep, advice *StepAdvice, hold *Hold) {
-	if advice != nil && advice.InFlight || !p.mayRequestAdvice(step) || !p.withinClientAccountLimit(step) {
+	if advice != nil && advice.InFlight || !p.mayRequestAdvice(step) ||
+		!p.withinClientAccountLimit(step) || p.isHeldBack(step) {
 		return
 	}
 	request := AdviceRequest{
@@ -112,18 +113,23 @@
 }
 
 // nameUnknownTargets names targets with room that the advisor was not consulted
-// on yet, until the wanted capacity is expected or the call gets long.
+// on yet, until the wanted capacity is expected or the call gets long. If all targets
+// together have too little room for the tasks, the step is short of room.
 func (p *planner) nameUnknownTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice, wanted float64) {
 	approvalRate := p.input.ApprovalRate(step.queue.Name)
 	atLeast := p.minTargets(request)
+	step.short = true
 	for target := range p.targetsToAsk(step) {
 		if len(request.Targets) >= maxTargetsPerRequest || wanted <= 0 && len(request.Targets) >= atLeast {
+			step.short = false
 			break
 		}
 		if advice == nil || !advice.Requested[target.info.ID.ID] {
 			wanted -= p.addTarget(request, step, target, approvalRate)
 		}
 	}
+	found := capacityFactor*float64(p.waitingTasks(step)) - wanted
+	step.short = step.short && found < float64(step.missing)
 }
 
 // minTargets returns how many targets a request names if there are enough.
--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -229,6 +229,7 @@
 // take deducts a task of the step from the target's free room.
 func (p *planner) take(step *pendingStep, target *targetState) {
 	target.free = target.free.Sub(step.spec.Reservation())
+	p.chargeUsable(target, step.spec.Reservation())
 	target.timeline = nil
 	if target.hold != nil {
 		target.hold.Use(step.spec.Reservation(), p.endIfStartedNow(step))
@@ -238,6 +239,7 @@
 // giveBack undoes take.
 func (p *planner) giveBack(step *pendingStep, target *targetState) {
 	target.free = target.free.Add(step.spec.Reservation())
+	p.chargeUsable(target, quota.Resources{}.Sub(step.spec.Reservation()))
 	target.timeline = nil
 	if target.hold != nil {
 		target.hold.Return(step.spec.Reservation(), p.endIfStartedNow(step))
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -143,6 +143,7 @@
 	ordered := rank.Order(entries, p.conditions, p.input.Turn, compareSteps)
 	for _, entry := range ordered {
 		entry.Item.tier = entry.Tier
+		entry.Item.starving = entry.Starving
 	}
 	return ordered
 }
--- a/internal/plan/place.go
+++ b/internal/plan/place.go
@@ -33,9 +33,12 @@
 		advice = p.adviceOf(step)
 	}
 	mayPlace := !needsAdvice || advice != nil
+	placed := p.placedTasks
 	if mayPlace && p.placeTasks(step, advice) {
 		return
 	}
+	step.missing = p.waitingTasks(step) - (p.placedTasks - placed)
+	step.short = !needsAdvice || p.wasShort(step)
 	var hold *Hold
 	if mayPlace && p.needsHold(step) && p.withinClientAccountLimit(step) {
 		hold = p.holdRoom(step, advice)
@@ -44,6 +47,12 @@
 	if needsAdvice {
 		p.requestAdvice(step, advice, hold)
 	}
+	if step.short && p.isUrgent(step) {
+		p.recordUrgent(step)
+		if p.decision.WaitReasons[step.key] == ReasonNoAdvice && (advice == nil || !advice.InFlight) {
+			p.decision.WaitReasons[step.key] = ReasonNoCapacity
+		}
+	}
 }
 
 // placeTasks places as many tasks of the step as possible, or all of a gang or
@@ -141,6 +150,8 @@
 	switch {
 	case !p.withinClientAccountLimit(step):
 		return ReasonClientAccountLimit
+	case p.isHeldBack(step):
+		return ReasonHeld
 	case step.queue != nil && step.queue.Advice != nil && (advice == nil || advice.InFlight):
 		return ReasonNoAdvice
 	case len(p.decision.Holds) > 0 && p.decision.Holds[step.key] == nil && p.isRoomHeld(step, advice):
@@ -188,7 +199,7 @@
 
 // selectTarget returns the target with the highest score for a task, or nil.
 func (p *planner) selectTarget(step *pendingStep, ref graph.TaskRef, advice *StepAdvice) *targetState {
-	if !p.withinClientAccountLimit(step) {
+	if !p.withinClientAccountLimit(step) || p.isHeldBack(step) {
 		return nil
 	}
 	suspect := p.isSuspect(step.job, ref)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -105,6 +105,9 @@
 	IdleSince map[graph.JobID]graph.Millis
 	// Turn counts the decisions.
 	Turn int
+	// Urgent is what the previous decision found of urgent work that waits for room. If it
+	// is nil, no room is kept for such work.
+	Urgent *UrgentState
 }
 
 // AdviceRequest is a request for advice on the targets for a step.
@@ -157,6 +160,8 @@
 	// IdleSince has since when jobs that were started before wait with nothing of them
 	// running. It is empty if no client account has a weight.
 	IdleSince map[graph.JobID]graph.Millis
+	// Urgent is handed on to the next decision.
+	Urgent UrgentState
 }
 
 // planner holds the state of one planning pass.
@@ -185,8 +190,10 @@
 	// ratioByQueue caches the duration ratios, and scratch is used by scratchFor.
 	ratioByQueue map[string]float64
 	scratch      []graph.Millis
-	decision     Decision
-	placedTasks  int
+	// urgent is the urgent work that waits for room.
+	urgent      urgentWork
+	decision    Decision
+	placedTasks int
 }
 
 func newPlanner(in Input) *planner {
@@ -209,6 +216,8 @@
 	p.decision.Tickets = map[graph.TaskRef]Ticket{}
 	p.decision.WaitReasons = map[StepKey]WaitReason{}
 	p.decision.IdleSince = map[graph.JobID]graph.Millis{}
+	p.decision.Urgent = newUrgentState()
+	p.urgent = p.newUrgentWork()
 	return p
 }
 
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -36,6 +36,9 @@
 	// overRate and durationRatio are passed to the decisions.
 	overRate      func(graph.JobID) bool
 	durationRatio func(string) float64
+	// urgent is from the last decision, and keepsRoom says whether it is handed on.
+	urgent    UrgentState
+	keepsRoom bool
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -43,6 +46,8 @@
 		ledger: graph.NewLedger(),
 		advice: map[StepKey]*StepAdvice{},
 		now:    time.UnixMilli(100_000),
+
+		keepsRoom: true,
 	}
 	f.ledger.Apply(graph.Command{Config: &graph.Config{
 		Version: 1,
@@ -127,14 +132,24 @@
 			DurationRatio: f.durationRatio,
 			IdleSince:     f.idleSince,
 			Turn:          f.turn,
+			Urgent:        f.urgentState(),
 		})
 	})
 	f.holds = d.Holds
 	f.idleSince = d.IdleSince
+	f.urgent = d.Urgent
 	f.turn++
 	return d
 }
 
+// urgentState returns what the last decision hands on about urgent work.
+func (f *fixture) urgentState() *UrgentState {
+	if !f.keepsRoom {
+		return nil
+	}
+	return &f.urgent
+}
+
 // freeCalls is how many advice calls the fixture's advisor serves at once.
 const freeCalls = 16
 
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -25,6 +25,12 @@
 	idleSince graph.Millis
 	// tier is set by orderSteps, see rank.Entry.
 	tier int
+	// starving is set by orderSteps, see rank.Entry.
+	starving bool
+	// missing counts the tasks that placeStep has not placed, and short is set if they are
+	// known to wait for room.
+	missing int
+	short   bool
 	// advice caches the advisor's answers, see planner.adviceOf.
 	advice      *StepAdvice
 	adviceKnown bool
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -77,6 +77,7 @@
 			OverRate:        l.admissions.isOverRate,
 			IdleSince:       l.idleSince,
 			Turn:            l.decisions,
+			Urgent:          &l.urgent,
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
@@ -85,6 +86,7 @@
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.idleSince = decision.IdleSince
+	l.urgent = decision.Urgent
 	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
 	if len(decision.Groups) == 0 || busy {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -56,6 +56,8 @@
 	// loop uses them.
 	idleSince map[graph.JobID]graph.Millis
 	decisions int
+	// urgent is from the last decision. Only the decision loop uses it.
+	urgent plan.UrgentState
 	// durations learns how long tasks take, by queue.
 	durations rank.Ratios[string]
 	// decisionPause is the pause after the last decision. Only the decision loop
