--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -54,6 +54,9 @@
 		p.nameTargetsToHold(&request, step, advice, hold)
 	} else {
 		p.nameTargets(&request, step, advice)
+		if step.short && p.isUrgent(step) {
+			p.nameProspects(&request, step, advice)
+		}
 	}
 	if len(request.Targets) > 0 {
 		p.adviceRequestsByQueue[step.queue.Name]++
--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -104,3 +104,28 @@
 		})
 	}
 }
+
+// BenchmarkDecidePreempt measures one decision with 350 targets full of tasks that may be
+// preempted, 1,000 urgent steps that wait for room, and 2,000 batch steps behind them.
+func BenchmarkDecidePreempt(b *testing.B) {
+	f := newFixture(350, quota.Resources{})
+	f.setAccounts(weighted(1000, 1000)...)
+	f.mayPreempt = func(graph.TaskRef) bool { return true }
+	running := newStep(20, 1900)
+	running.Estimate = 30_000
+	running.Checkpoints = true
+	for i := range 70 {
+		f.submitAs("b", "batch", graph.JobID(fmt.Sprintf("r%04d", i)), running)
+	}
+	for range 8 {
+		f.commit(f.decide())
+	}
+	f.advisorBusy = true
+	for i := range 3000 {
+		f.submitAs("a", []string{"urgent", "batch", "batch"}[i%3], graph.JobID(fmt.Sprintf("w%04d", i)), newStep(8, 1200))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.decide()
+	}
+}
--- a/internal/plan/load_test.go
+++ b/internal/plan/load_test.go
@@ -32,6 +32,12 @@
 	// learns it.
 	slowdown float64
 	ratios   rank.Ratios[string]
+	// preempted counts the preemptions by task, stopped has the runs that were stopped, rests
+	// what is left of their tasks, and lost sums up the core-seconds that were thrown away.
+	preempted map[graph.TaskRef]int
+	stopped   map[graph.TaskRef]uint32
+	rests     map[graph.TaskRef]time.Duration
+	lost      float64
 }
 
 // simulatedEvent is a state change at a time.
@@ -52,6 +58,9 @@
 		completed: map[graph.JobID]time.Time{},
 		started:   map[graph.JobID]time.Time{},
 		slowdown:  1,
+		preempted: map[graph.TaskRef]int{},
+		stopped:   map[graph.TaskRef]uint32{},
+		rests:     map[graph.TaskRef]time.Duration{},
 	}
 	s.expectedEnds = map[graph.TaskRef]time.Time{}
 	return s
@@ -106,8 +115,14 @@
 		queue = v.Jobs()[placement.Task.Job].Queue
 	})
 	runTime = time.Duration(float64(estimate) * s.slowdown * (0.7 + 0.6*s.random.Float64()))
+	if rest, resumed := s.rests[placement.Task]; resumed {
+		runTime = rest
+	}
 	s.expectedEnds[placement.Task] = s.now.Add(runTime)
 	s.after(runTime, func() {
+		if s.stopped[placement.Task] == placement.Run {
+			return
+		}
 		s.ratios.Observe(queue, runTime, estimate)
 		result := s.ledger.Apply(graph.Command{
 			Time: graph.Millis(s.now.UnixMilli()),
@@ -124,6 +139,35 @@
 	})
 }
 
+// preemptAll stops the runs, which takes 0.2 to 0.9 s. Their tasks lose up to a second of work,
+// and 0.3 s to resume.
+func (s *simulation) preemptAll(d Decision) {
+	for _, preemption := range d.Preemptions {
+		ref := preemption.Task
+		s.preempted[ref]++
+		s.ledger.Apply(graph.Command{Evict: &graph.Evict{Tasks: []graph.TaskRef{ref}}})
+		s.after(time.Duration(200+s.random.IntN(700))*time.Millisecond, func() {
+			if !s.expectedEnds[ref].After(s.now) {
+				return
+			}
+			s.stopped[ref] = preemption.Run
+			again := time.Duration(s.random.IntN(1300)) * time.Millisecond
+			s.rests[ref] = s.expectedEnds[ref].Sub(s.now) + again
+			s.lost += again.Seconds() * cores(preemption.Reserved)
+			s.ledger.Apply(graph.Command{
+				Time: graph.Millis(s.now.UnixMilli()),
+				Events: &graph.Events{Ends: []graph.RunEnd{{
+					Target:     preemption.Target,
+					Task:       ref,
+					Run:        preemption.Run,
+					Outcome:    graph.OutcomeStopped,
+					Checkpoint: "c",
+				}}},
+			})
+		})
+	}
+}
+
 // advise starts a call if a caller is free. Which targets are approved for a step
 // does not change.
 func (s *simulation) advise(request AdviceRequest) {
--- a/internal/plan/order_load_test.go
+++ b/internal/plan/order_load_test.go
@@ -43,6 +43,7 @@
 		s.callsLeft = s.callers
 		decision := s.decide()
 		s.startAll(decision)
+		s.preemptAll(decision)
 		for tier := range 3 {
 			for _, request := range decision.AdviceRequests {
 				if request.Tier == tier {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -108,6 +108,9 @@
 	// Urgent is what the previous decision found of urgent work that waits for room. If it
 	// is nil, no room is kept for such work.
 	Urgent *UrgentState
+	// MayPreempt reports whether the task's run may be stopped for urgent work. Nil means
+	// that none may.
+	MayPreempt func(graph.TaskRef) bool
 }
 
 // AdviceRequest is a request for advice on the targets for a step.
@@ -160,6 +163,8 @@
 	// IdleSince has since when jobs that were started before wait with nothing of them
 	// running. It is empty if no client account has a weight.
 	IdleSince map[graph.JobID]graph.Millis
+	// Preemptions are to be started. Those that are under way are part of Urgent.
+	Preemptions []Preemption
 	// Urgent is handed on to the next decision.
 	Urgent UrgentState
 }
@@ -191,9 +196,12 @@
 	ratioByQueue map[string]float64
 	scratch      []graph.Millis
 	// urgent is the urgent work that waits for room.
-	urgent      urgentWork
-	decision    Decision
-	placedTasks int
+	urgent urgentWork
+	// examinedTargets and examinedOptions bound the work of preemption.
+	examinedTargets int
+	examinedOptions int
+	decision        Decision
+	placedTasks     int
 }
 
 func newPlanner(in Input) *planner {
@@ -224,6 +232,7 @@
 // Decide returns the placements to propose and the advice to request.
 func Decide(in Input) Decision {
 	p := newPlanner(in)
+	p.carryPreemptions()
 	steps := p.pendingSteps()
 	if len(steps) == 0 {
 		return p.decision
@@ -247,5 +256,6 @@
 			p.recordPutBehind(entry, ahead)
 		}
 	}
+	p.preempt()
 	return p.decision
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -39,6 +39,8 @@
 	// urgent is from the last decision, and keepsRoom says whether it is handed on.
 	urgent    UrgentState
 	keepsRoom bool
+	// mayPreempt is passed to the decisions.
+	mayPreempt func(graph.TaskRef) bool
 }
 
 func newFixture(targets int, limit quota.Resources) *fixture {
@@ -130,6 +132,7 @@
 
 			OverRate:      f.overRate,
 			DurationRatio: f.durationRatio,
+			MayPreempt:    f.mayPreempt,
 			IdleSince:     f.idleSince,
 			Turn:          f.turn,
 			Urgent:        f.urgentState(),
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -26,12 +26,16 @@
 	Short map[StepKey]bool
 	// Since has by service since when work of lower priority is held back.
 	Since map[string]time.Time
+	// Preemptions has the preemptions that are under way.
+	Preemptions map[graph.TaskRef]Preemption
 }
 
 func newUrgentState() UrgentState {
 	return UrgentState{
 		Short: map[StepKey]bool{},
 		Since: map[string]time.Time{},
+
+		Preemptions: map[graph.TaskRef]Preemption{},
 	}
 }
 
--- a/internal/plan/reserve_test.go
+++ b/internal/plan/reserve_test.go
@@ -94,12 +94,13 @@
 	return short
 }
 
-// Calm traffic must be decided exactly as without kept room. With advice, decisions depend on
+// Calm traffic must be decided exactly as without kept room and preemption. With advice, decisions depend on
 // the order of maps, so that only the cause is compared.
 func TestCalmTrafficIsDecidedAsBefore(t *testing.T) {
 	c := qt.New(t)
 	with, without := newUrgentSimulation(), newUrgentSimulation()
 	without.keepsRoom = false
+	with.mayPreempt = with.mayPreemptOnce
 	c.Check(playCalm(with, "urgent"), qt.IsFalse)
 	playCalm(without, "urgent")
 	c.Check(len(with.completed) > 100, qt.IsTrue)
--- a/internal/plan/targets.go
+++ b/internal/plan/targets.go
@@ -29,6 +29,8 @@
 	hold *holds.Hold
 	// suspects counts the suspect tasks on the target, see planner.isSuspect.
 	suspects int
+	// prospects is computed on first use.
+	prospects *prospects
 }
 
 // colocation counts the latency-sensitive services and the best-effort tasks on
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -78,6 +78,7 @@
 			IdleSince:       l.idleSince,
 			Turn:            l.decisions,
 			Urgent:          &l.urgent,
+			MayPreempt:      l.preemptions.mayPreempt,
 		})
 	})
 	observeSince(l.scheduler.metrics.decide, now)
@@ -87,6 +88,7 @@
 	l.holds = decision.Holds
 	l.idleSince = decision.IdleSince
 	l.urgent = decision.Urgent
+	l.startPreemptions(decision.Preemptions)
 	l.decisions++
 	l.advice.request(decision.AdviceRequests, now, l.decisionPause)
 	if len(decision.Groups) == 0 || busy {
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -96,6 +96,8 @@
 	maxStopsInFlight int
 	// stalledTask is a task whose first run makes no progress.
 	stalledTask graph.TaskRef
+	// checkpoint is the checkpoint of runs that are stopped.
+	checkpoint string
 	// deadlyTask is a task that crashes each target that starts it, and crashed is
 	// called with the target's name then.
 	deadlyTask graph.TaskRef
@@ -133,12 +135,16 @@
 	delete(t.running, ref)
 	t.seq++
 	t.highestRun[ref] = max(t.highestRun[ref], run)
-	t.ended = append(t.ended, EndedRun{
+	ended := EndedRun{
 		Seq:     t.seq,
 		Task:    ref,
 		Run:     run,
 		Outcome: outcome,
-	})
+	}
+	if outcome == graph.OutcomeStopped {
+		ended.Checkpoint = f.checkpoint
+	}
+	t.ended = append(t.ended, ended)
 }
 
 // lockTarget returns the target, or an error if the target does not answer or
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -42,9 +42,11 @@
 	relays    *relays
 	targets   Targets
 
-	rater   *rating.Rater[plan.StepKey, graph.TargetID]
-	moves   *moves
-	waitLog *waitLog
+	rater *rating.Rater[plan.StepKey, graph.TargetID]
+	moves *moves
+	// preemptions has how often tasks were stopped for urgent work.
+	preemptions *preemptions
+	waitLog     *waitLog
 	// restarts delays the starts of long-running tasks that end at once.
 	restarts *restarts
 	// doneTasks has the tasks that are done, as late ends of their runs have told.
@@ -114,6 +116,7 @@
 		wake:              make(chan struct{}, 1),
 		rater:             rating.NewRater[plan.StepKey, graph.TargetID](),
 		moves:             newMoves(),
+		preemptions:       newPreemptions(),
 		restarts:          newRestarts(),
 		doneTasks:         newDoneTasks(),
 		waitLog:           newWaitLog(s.log.WithField("term", term), s.metrics),
@@ -254,6 +257,7 @@
 		l.advice.removeEndedJobs()
 		l.admissions.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) }, time.Now())
 		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
+		l.preemptions.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.restarts.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.doneTasks.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
 		l.rater.Forget(func(step plan.StepKey) bool { return !l.scheduler.ledger.IsLive(step.Job) })
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -41,6 +41,7 @@
 	adviceBacklog  prometheus.Gauge
 	overload       *prometheus.CounterVec
 	putBehind      *prometheus.CounterVec
+	preempted      prometheus.Counter
 	// adviceAnswers counts the advisor's answers, and adviceAnswersUsed those on
 	// which a start is based.
 	adviceAnswers     prometheus.Counter
@@ -115,6 +116,7 @@
 		}, []string{"reason"}),
 		putBehind: counterVec("jasmineward_steps_put_behind_total",
 			"Steps that this leader put behind others while resources or advice were short, by rule.", "rule"),
+		preempted:  counter("jasmineward_preempted_total", "Runs that this leader stopped for urgent work."),
 		logSync:    histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
 		commit:     histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
 		advice:     histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
@@ -133,11 +135,16 @@
 			Buckets: prometheus.ExponentialBuckets(1e-5, 2, 14),
 		}),
 	}
-	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled, m.putBehind,
+	m.register()
+	return m
+}
+
+// register registers the metrics that every instance has.
+func (m *metrics) register() {
+	m.registry.MustRegister(m.leading, m.submits, m.cancels, m.orders, m.routes, m.runsEnded, m.electionsWon, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns, m.overdueOrders, m.lateEnds, m.withheld, m.placementLimit, m.waiting, m.commit, m.logSync, m.advice, m.adviceWait, m.adviceBacklog, m.overload, m.adviceRecalled, m.putBehind, m.preempted,
 		m.adviceAnswers, m.adviceAnswersUsed, m.firstPlacement, m.decide,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return m
 }
 
 // ageSeconds returns the seconds from at to now, or zero if at is unset.
