--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -149,12 +149,12 @@
 	return n
 }
 
-// isHeldBack reports whether the step has a lower priority than urgent work that waits for
-// room in its service, and one more task of it would take room that is kept for that work.
+// isHeldBack reports whether the step goes behind urgent work that waits for room in its
+// service, by its priority or its tier, and one more task of it would take room that is kept.
 // Long-running work, work that uses idle CPU and starving jobs are not held back.
 func (p *planner) isHeldBack(step *pendingStep) bool {
-	if !p.conditions.Short || len(p.urgent.byService) == 0 || step.priority <= p.urgent.priority ||
-		step.spec.LongRunning || step.spec.BestEffort || step.starving {
+	if !p.conditions.Short || len(p.urgent.byService) == 0 ||
+		step.priority <= p.urgent.priority && step.tier == 0 || step.spec.LongRunning || step.spec.BestEffort || step.starving {
 		return false
 	}
 	service := p.input.View.ServiceOf(step.job)
--- a/internal/plan/reserve_test.go
+++ b/internal/plan/reserve_test.go
@@ -41,6 +41,11 @@
 	check(newKeptRoom(weighted(0, 0)...), false, "no weights")
 
 	f := newKeptRoom(weighted(1, 1)...)
+	f.submitAs("a", "urgent", "o", newStep(1, 1000))
+	f.overRate = func(id graph.JobID) bool { return id == "o" }
+	check(f, true, "other work over its rate")
+
+	f = newKeptRoom(weighted(1, 1)...)
 	f.overRate = func(id graph.JobID) bool { return id == "u" }
 	check(f, false, "urgent work over its rate")
 
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -87,6 +87,7 @@
 	l.waitLog.logHolds(now, l.holds, decision.Holds)
 	l.holds = decision.Holds
 	l.idleSince = decision.IdleSince
+	l.waitLog.logKeptRoom(now, decision.Urgent)
 	l.urgent = decision.Urgent
 	l.startPreemptions(decision.Preemptions)
 	l.decisions++
--- a/internal/push/waitlog.go
+++ b/internal/push/waitlog.go
@@ -36,6 +36,8 @@
 	// counter counts by rule how often a step was put behind others.
 	counter *prometheus.CounterVec
 	steps   map[plan.StepKey]*stepWait
+	// keptSince has since when room is kept in services, as far as it is logged.
+	keptSince map[string]time.Time
 }
 
 func newWaitLog(log *logrus.Entry, m *metrics) *waitLog {
@@ -44,6 +46,8 @@
 		gauge:   m.waiting,
 		counter: m.putBehind,
 		steps:   map[plan.StepKey]*stepWait{},
+
+		keptSince: map[string]time.Time{},
 	}
 }
 
@@ -142,6 +146,32 @@
 	}
 }
 
+// logKeptRoom logs from when to when work of lower priority leaves the room in a service to
+// urgent work that waits for it, if this takes longer than waitLogDelay.
+func (w *waitLog) logKeptRoom(now time.Time, urgent plan.UrgentState) {
+	for service, since := range urgent.Since {
+		if _, logged := w.keptSince[service]; logged || now.Sub(since) < waitLogDelay {
+			continue
+		}
+		w.keptSince[service] = since
+		w.log.WithFields(logrus.Fields{
+			"service": service,
+			"since":   now.Sub(since).Round(time.Millisecond),
+			"steps":   len(urgent.Short),
+		}).Info("sched: keeps room for urgent work")
+	}
+	for service, since := range w.keptSince {
+		if _, still := urgent.Since[service]; still {
+			continue
+		}
+		delete(w.keptSince, service)
+		w.log.WithFields(logrus.Fields{
+			"service": service,
+			"since":   now.Sub(since).Round(time.Millisecond),
+		}).Info("sched: keeps no more room for urgent work")
+	}
+}
+
 // sameTargets reports whether both hold room on the same targets.
 func sameTargets(a, b *plan.Hold) bool {
 	return a != nil && slices.EqualFunc(a.Targets, b.Targets, func(x, y plan.HeldTarget) bool { return x.ID == y.ID })
--- a/internal/push/waitlog_test.go
+++ b/internal/push/waitlog_test.go
@@ -42,6 +42,25 @@
 	c.Assert(hook.AllEntries(), qt.HasLen, 2)
 }
 
+// Kept room is logged when it begins and ends, not with each decision, and not at all if it
+// lasts for a few decisions only.
+func TestKeptRoomIsLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	logger, hook := logtest.NewNullLogger()
+	w := newWaitLog(logrus.NewEntry(logger), newMetrics())
+	now := time.Unix(1000, 0)
+	kept := plan.UrgentState{Since: map[string]time.Time{"s": now}}
+	w.logKeptRoom(now, kept)
+	w.logKeptRoom(now, plan.UrgentState{})
+	c.Assert(hook.AllEntries(), qt.HasLen, 0)
+	w.logKeptRoom(now.Add(waitLogDelay), kept)
+	w.logKeptRoom(now.Add(2*waitLogDelay), kept)
+	c.Assert(hook.AllEntries(), qt.HasLen, 1)
+	w.logKeptRoom(now.Add(time.Second), plan.UrgentState{})
+	c.Assert(hook.AllEntries(), qt.HasLen, 2)
+	c.Check(hook.LastEntry().Data["since"], qt.Equals, time.Second)
+}
+
 // counted returns the sum of the counters of the given name.
 func counted(c *qt.C, m *metrics, name string) float64 {
 	families, err := m.registry.Gather()
