--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -80,13 +80,17 @@
 	}, []string{label})
 }
 
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: name,
+		Help: help,
+	})
+}
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
-		leading: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "jasmineward_leading",
-			Help: "1 while this instance leads.",
-		}),
+		leading:  gauge("jasmineward_leading", "1 while this instance leads."),
 		submits: counterVec("jasmineward_submits_total",
 			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
 		overload: counterVec("jasmineward_overload_refusals_total",
@@ -110,10 +114,7 @@
 			"Orders that reached this relay after the leader had given them up."),
 		lateEnds: counter("jasmineward_late_ends_total",
 			"Ends done of runs whose tasks had been put back."),
-		placementLimit: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "jasmineward_placement_limit",
-			Help: "Tasks that this leader's next decision may place, as commits take.",
-		}),
+		placementLimit: gauge("jasmineward_placement_limit", "Tasks that this leader's next decision may place, as commits take."),
 		withheld: counterVec("jasmineward_starts_withheld_total",
 			"Starts that were not sent because no valid ticket was left, by reason.", "reason"),
 		evacuationMoves: counter("jasmineward_evacuation_moves_total",
@@ -124,15 +125,12 @@
 		}, []string{"reason"}),
 		putBehind: counterVec("jasmineward_steps_put_behind_total",
 			"Steps that this leader put behind others while resources or advice were short, by rule.", "rule"),
-		preempted:  counter("jasmineward_preempted_total", "Runs that this leader stopped for urgent work."),
-		logSync:    histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
-		commit:     histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
-		advice:     histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
-		adviceWait: histogram("jasmineward_advice_wait_seconds", "Time that a request for advice waited for its call."),
-		adviceBacklog: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "jasmineward_advice_backlog",
-			Help: "Requests for advice of the last decision, before calls were made.",
-		}),
+		preempted:         counter("jasmineward_preempted_total", "Runs that this leader stopped for urgent work."),
+		logSync:           histogram("jasmineward_log_sync_seconds", "Time of a write to the log, with its sync."),
+		commit:            histogram("jasmineward_commit_seconds", "Time from a proposal to its result."),
+		advice:            histogram("jasmineward_advice_seconds", "Time of a call for advice, with its wait."),
+		adviceWait:        histogram("jasmineward_advice_wait_seconds", "Time that a request for advice waited for its call."),
+		adviceBacklog:     gauge("jasmineward_advice_backlog", "Requests for advice of the last decision, before calls were made."),
 		adviceAnswers:     counter("jasmineward_advice_answers_total", "Answers of the advisor to this leader."),
 		adviceAnswersUsed: counter("jasmineward_advice_answers_used_total", "Answers of the advisor that a task was started with."),
 		adviceRecalled:    counter("jasmineward_advice_recalled_total", "Answers of the advisor that instances kept for this leader."),
