--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -22,7 +22,7 @@
 	// ends of runs, which change little in that time.
 	holdInterval = 100 * time.Millisecond
 	// decisionPauseFactor is the ratio of the pause after a decision to its time.
-	decisionPauseFactor = 8
+	decisionPauseFactor = 4
 )
 
 // decisionLoop makes decisions periodically and when woken.
