--- a/internal/push/admissions.go
+++ b/internal/push/admissions.go
@@ -130,7 +130,8 @@
 	defer a.mu.Unlock()
 	waits := make(map[string]admit.WaitKind, len(a.admittedAt))
 	for step, reason := range reasons {
-		if _, queued := a.admittedAt[step.Job]; !queued {
+		// While all targets are evacuated, work waits and nothing is refused.
+		if _, queued := a.admittedAt[step.Job]; !queued || reason == plan.ReasonEvacuated {
 			continue
 		}
 		waits[string(step.Job)] = admit.WaitShared
--- a/internal/push/model_fleet_test.go
+++ b/internal/push/model_fleet_test.go
@@ -55,6 +55,8 @@
 type modelJob struct {
 	spec      []graph.Step
 	cancelled time.Time
+	// refused is set if the submission was refused, which says that it never runs.
+	refused bool
 	// done has the tasks that have ended done, and noted those of which the end was
 	// acknowledged. failed counts the acknowledged failed ends.
 	done, noted map[graph.TaskRef]bool
@@ -342,6 +344,9 @@
 		f.breakRule("UNASKED: %s of %s, which nobody submitted", name, ref.Job)
 		return
 	}
+	if job.refused {
+		f.breakRule("REFUSED: %s of %s starts on %s, which was told that it never runs", name, ref.Job, t.id)
+	}
 	step := job.spec[ref.Step]
 	for _, other := range f.targets {
 		if r := other.running[ref]; r != nil && other.up {
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -402,6 +402,9 @@
 				ID:      id,
 				Spec:    graph.Spec{Steps: steps},
 			}, &reply)
+			if reply.Fault == nil && reply.Value.Refusal == graph.RefusedQueueFull {
+				m.refuse(id)
+			}
 			return reply.Fault
 		})
 		if m.random.IntN(8) == 0 {
@@ -432,6 +435,12 @@
 	m.fleet.mu.Unlock()
 }
 
+// refuse records that the job was refused because of a backlog.
+func (m *model) refuse(id graph.JobID) {
+	m.note("%s is refused", id)
+	m.set(func() { m.fleet.jobs[id].refused = true })
+}
+
 // retry calls until there is no fault.
 func (m *model) retry(call func() *wire.Fault) {
 	for call() != nil && m.pause(100*time.Millisecond) {
@@ -618,6 +627,9 @@
 	for id, job := range m.fleet.jobs {
 		state, refusal := m.cell.scheduler.ledger.StateOf(modelAddress(), id)
 		switch {
+		case job.refused && refusal == graph.RefusedNoJob:
+		case job.refused:
+			m.fleet.breakRule("REFUSED: %s was refused and is known as %s", id, state)
 		case refusal != "":
 			m.fleet.breakRule("LOST: %s is refused as %s", id, refusal)
 		case !job.cancelled.IsZero():
