--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -153,8 +153,8 @@
 	fields := logrus.Fields{
 		"term":          lost.Term,
 		"reason":        lost.Reason,
-		"led":           lost.Led.Round(time.Millisecond),
-		"quorum-silent": lost.QuorumSilent.Round(time.Millisecond),
+		"led":           lost.Led.Milliseconds(),
+		"quorum-silent": lost.QuorumSilent.Milliseconds(),
 	}
 	if lost.From != 0 {
 		fields["from"] = cmp.Or(h.addressOf(lost.From), strconv.FormatUint(uint64(lost.From), 10))
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -17,7 +17,7 @@
 // usable reports whether new work may be sent to the target at the given time.
 func (l *leader) usable(id graph.TargetID, now time.Time) bool {
 	d := l.driver(id)
-	return d != nil && d.usable(now)
+	return d != nil && d.usable(now) && !l.quarantine.has(id, now)
 }
 
 // driver returns the driver of the incarnation, or nil if there is none.
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -73,6 +73,7 @@
 	// flowLimited is true while slow commits lower the bounds on proposals. Only the
 	// decision loop uses it.
 	flowLimited bool
+	quarantine  *quarantine
 	// admissions has the jobs that wait for their first placement, and those over the
 	// rate of their client account.
 	admissions *admissions
@@ -137,6 +138,7 @@
 		uncertainPlacements: map[graph.TargetID]int{},
 
 		admissions: newAdmissions(),
+		quarantine: newQuarantine(),
 
 		moving: map[graph.TaskRef]uint32{},
 
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -25,6 +25,7 @@
 	routes         *prometheus.CounterVec
 	runsEnded      *prometheus.CounterVec
 	electionsWon   prometheus.Counter
+	quarantines    prometheus.Counter
 	crashes        prometheus.Counter
 	jobsGivenUp    prometheus.Counter
 	adoptedRuns    prometheus.Counter
@@ -105,6 +106,7 @@
 		electionsWon: counter("jasmineward_elections_won_total", "How often this instance came to lead."),
 		leadsLost: counterVec("jasmineward_leads_lost_total",
 			"Leaderships of this instance that ended, by reason.", "reason"),
+		quarantines: counter("jasmineward_quarantines_total", "How often this leader kept new work from a target on which a task stood still."),
 		crashes:     counter("jasmineward_targets_crashed_total", "Targets that crashed under tasks, as seen by this leader."),
 		jobsGivenUp: counter("jasmineward_jobs_given_up_total", "Jobs that this leader gave up because targets crash under a task."),
 		adoptedRuns: counter("jasmineward_runs_adopted_total", "Runs that may have outlived a replaced lifetime of their target."),
@@ -153,7 +155,7 @@
 		m.waiting, m.putBehind, m.preempted, m.decide, m.placementLimit, m.commit, m.logSync,
 		m.advice, m.adviceWait, m.adviceBacklog, m.adviceAnswers, m.adviceAnswersUsed, m.adviceRecalled,
 		m.orders, m.routes, m.overdueOrders, m.withheld, m.evacuationMoves,
-		m.runsEnded, m.lateEnds, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns,
+		m.runsEnded, m.lateEnds, m.quarantines, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
--- a/internal/push/progress.go
+++ b/internal/push/progress.go
@@ -62,6 +62,9 @@
 			continue
 		}
 		stalled := d.updateProgress(key, assignment, r.Percent, now)
+		if stalled {
+			d.leader.quarantineTarget(d.target.ID, now)
+		}
 		switch {
 		case stalled && assignment.Speculative:
 			if d.markSpeculated(key) {
--- a/internal/push/waitlog.go
+++ b/internal/push/waitlog.go
@@ -114,7 +114,7 @@
 		"rule":       behind.Reason,
 		"account":    behind.Account,
 		"for":        behind.Job,
-		"since":      now.Sub(known.behindSince).Round(time.Millisecond),
+		"since":      now.Sub(known.behindSince).Milliseconds(),
 		"reason":     known.reason,
 	}).Info("sched: put behind")
 }
@@ -156,7 +156,7 @@
 		w.keptSince[service] = since
 		w.log.WithFields(logrus.Fields{
 			"service": service,
-			"since":   now.Sub(since).Round(time.Millisecond),
+			"since":   now.Sub(since).Milliseconds(),
 			"steps":   len(urgent.Short),
 		}).Info("sched: keeps room for urgent work")
 	}
@@ -167,7 +167,7 @@
 		delete(w.keptSince, service)
 		w.log.WithFields(logrus.Fields{
 			"service": service,
-			"since":   now.Sub(since).Round(time.Millisecond),
+			"since":   now.Sub(since).Milliseconds(),
 		}).Info("sched: keeps no more room for urgent work")
 	}
 }
