--- a/internal/graph/admission.go
+++ b/internal/graph/admission.go
@@ -26,9 +26,9 @@
 	At            Millis
 }
 
-// CriticalPath returns the estimated duration of the longest chain of dependent steps.
-func (s *Spec) CriticalPath() Millis {
-	ends := make([]Millis, len(s.Steps))
+// CriticalPath returns the estimated duration of the longest chain of dependent steps. The
+// slice is scratch space with a zero for each step.
+func (s *Spec) CriticalPath(ends []Millis) Millis {
 	var longest Millis
 	for i := range s.Steps {
 		for _, dependency := range s.Steps[i].DependsOn {
@@ -55,7 +55,7 @@
 	if refusal != "" {
 		return Terms{}, refusal
 	}
-	path := s.Spec.CriticalPath()
+	path := s.Spec.CriticalPath(make([]Millis, len(s.Spec.Steps)))
 	return Terms{
 		Queue:         queue.Name,
 		Priority:      queue.Priority,
--- a/internal/plan/steps.go
+++ b/internal/plan/steps.go
@@ -112,7 +112,7 @@
 
 // workOf returns what the steps of the job have in common.
 func (p *planner) workOf(job *graph.Job, queue *graph.Queue) rank.Work {
-	criticalPath := p.criticalPath(job)
+	criticalPath := job.Spec.CriticalPath(p.scratchFor(job))
 	work := rank.Work{Objective: milliseconds(criticalPath)}
 	if queue != nil {
 		work.Priority = queue.Priority
@@ -125,20 +125,6 @@
 	return work
 }
 
-// criticalPath returns the estimated duration of the job's longest chain of steps.
-func (p *planner) criticalPath(job *graph.Job) graph.Millis {
-	pathDuration := p.scratchFor(job)
-	var criticalPath graph.Millis
-	for i, step := range job.Spec.Steps {
-		for _, dependency := range step.DependsOn {
-			pathDuration[i] = max(pathDuration[i], pathDuration[dependency])
-		}
-		pathDuration[i] += step.Estimate
-		criticalPath = max(criticalPath, pathDuration[i])
-	}
-	return criticalPath
-}
-
 // restOf returns the expected duration of the longest chain of steps that is left of the
 // occurrence, or of all steps if it is nil, with the calls for their advice. Steps of which
 // all tasks run count as about to end.
