--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -1,7 +1,7 @@
-// Package admit decides whether a cell takes a job on while more work arrives than can
-// be placed. It refuses what would be served too late to be of use, and before that what
-// a client account sends beyond its rate, so that both learn it at once and can come back.
-// Without a backlog it refuses nothing. The package reads no clock and uses no network.
+// Package admit decides whether a cell admits a job while more work arrives than can be
+// placed. It refuses jobs that would be completed too late to be of use, and before that
+// jobs beyond the rate of their client account, so that clients learn at once that they have
+// to retry. Without a backlog it refuses nothing. The package reads no clock and uses no network.
 package admit
 
 import "time"
@@ -9,7 +9,8 @@
 const (
 	// rateWindow is the time over which the rate of placements is measured.
 	rateWindow = 3 * time.Second
-	// minBacklogTime is how long a backlog has to last before its rate says anything.
+	// minBacklogTime is how long a backlog has to last before the rate of its placements
+	// is a usable estimate.
 	minBacklogTime = time.Second
 	// valueFactor is how many times its objective a job may take and still be of use.
 	valueFactor = 3
--- a/internal/admit/backlog.go
+++ b/internal/admit/backlog.go
@@ -52,8 +52,8 @@
 	b.placements = b.placements[first:]
 }
 
-// expectedWait returns how long the jobs that wait take to be placed at the rate of
-// late. It is zero while that rate is not known.
+// expectedWait returns how long the waiting jobs take to be placed at the recent rate of
+// placements. It is zero while that rate is not known.
 func (b *backlog) expectedWait(now time.Time) time.Duration {
 	lasting := now.Sub(b.since)
 	if lasting < minBacklogTime || b.waiting == 0 {
@@ -71,7 +71,8 @@
 	base := min(max(excess, minRetryAfter), maxBaseDelay)
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	// The upper bits of the hashes of similar ids are alike.
+	// The remainder depends on the lower bits too. The upper bits alone are alike for
+	// similar ids.
 	fraction := float64(h.Sum64()%jitterSteps) / jitterSteps
 	return base + time.Duration(fraction*jitterFraction*float64(base))
 }
--- a/internal/graph/evacuation.go
+++ b/internal/graph/evacuation.go
@@ -7,7 +7,7 @@
 )
 
 // A target in an evacuated failure domain gets no new work. The ledger only records which
-// domains are evacuated: replicas of the last release do not know the command, so a
+// domains are evacuated: replicas of the previous release do not know the command, so a
 // placement is applied as before, and it is the leader that places and starts nothing there.
 
 // Evacuate evacuates a failure domain, or withdraws its evacuation.
--- a/internal/intake/monitor.go
+++ b/internal/intake/monitor.go
@@ -8,8 +8,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// logInterval is how often a refusal for one reason is logged at most. A crowd causes
-// thousands of refusals a second.
+// logInterval is how often a refusal for one reason is logged at most. Overload can
+// cause thousands of refusals a second.
 const logInterval = time.Second
 
 // Monitor logs and counts refusals. It is a prometheus.Collector.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -38,12 +38,13 @@
 	// and below the smoothed round trip time.
 	risingWeight  = 32
 	fallingWeight = 4
-	// assumedRate is in bytes a millisecond.
+	// assumedRate is the rate, in bytes per millisecond, at which a link is assumed to
+	// carry entries.
 	assumedRate = 1000
 
 	// maxAttempts is how many times a message is sent at most.
 	maxAttempts = 4
-	// Entries sent again use up an allowance, of which they add back one byte for each
+	// Entries that are sent again use up an allowance. It grows by one byte for each
 	// resendDivisor bytes sent for the first time, up to maxResendBytes.
 	resendDivisor  = 2
 	maxResendBytes = 256 << 10
@@ -53,8 +54,8 @@
 	maxUnanswered = 256 << 10
 )
 
-// class tells messages without entries, which keep a leadership alive, from those with
-// entries. They go over separate lanes.
+// class distinguishes messages without entries, such as heartbeats, from those with entries.
+// They go over separate lanes, so that entries do not delay heartbeats.
 type class int
 
 const (
@@ -161,7 +162,7 @@
 }
 
 // prove sends an empty batch over the lane, which establishes its connection before it
-// is needed and shows that it delivers.
+// is needed and shows that it delivers. The batch is never sent again.
 func (l *link) prove(lane *lane) {
 	if len(lane.steps) == 0 {
 		lane.start(l.newStep(nil, classControl, 0, maxAttempts), time.Now())
--- a/internal/peer/overdue.go
+++ b/internal/peer/overdue.go
@@ -12,8 +12,8 @@
 	idleInterval  = 200 * time.Millisecond
 )
 
-// nextCheck returns the time until a call may be overdue or lanes are to be looked
-// after.
+// nextCheck returns the time until a call may be overdue or lanes may have to be opened or
+// closed.
 func (l *link) nextCheck(now time.Time) time.Duration {
 	next := time.Hour
 	if !l.settled() {
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// shortFactor is the part of a service's free resources above which the waiting work
-	// counts as short of them. It is less than 1, as room is scattered over targets, and
-	// a step may run on some of them only.
+	// shortFactor is the part of a service's free resources that its waiting work may ask
+	// for before the service counts as short of resources. It is less than 1, because the
+	// free resources are spread over targets, and a step may run on some of them only.
 	shortFactor = 0.5
 	// starvingAfter is how long a job may wait with nothing of it running before it is
 	// served ahead of others, provided that its service and its client account use less
@@ -102,8 +102,8 @@
 	return running
 }
 
-// idleSince returns since when the job waits with nothing of it running. Of a job that was
-// never started the ledger tells; of others the decision before does.
+// idleSince returns since when the job waits with nothing of it running. For a job that was
+// never started this is in the ledger; for others it is kept from decision to decision.
 func (p *planner) idleSince(job *graph.Job) graph.Millis {
 	if !job.Started {
 		return max(job.Admitted, job.Occurrences[0].Due)
@@ -146,7 +146,7 @@
 	return ordered
 }
 
-// loadPools sums up the resources of the services' targets, and what the steps ask for beside
+// loadPools sums up the resources of the services' targets, and what the steps ask for without
 // their pending placements.
 func (p *planner) loadPools(steps []*pendingStep) {
 	for service, targets := range p.byService {
@@ -290,8 +290,8 @@
 	return graph.WithinLimit(usage.Add(p.usedByClientAccount[step.job.ClientAccount]), account.Limit.Scale(starvingUsage))
 }
 
-// addCalls adds to the entries and their accounts which part of the calls to the advisor
-// they need or have.
+// addCalls adds the part of the calls to the advisor that each entry needs to the entry, and
+// the part that is in flight for it to its account.
 func (p *planner) addCalls(entries []rank.Entry[*pendingStep]) {
 	inFlight, free := 0, 0
 	for i := range entries {
--- a/internal/plan/preempt.go
+++ b/internal/plan/preempt.go
@@ -11,23 +11,26 @@
 )
 
 const (
-	// checkpointInterval, restoreTime and maxStopTime are upper bounds of what deployments
-	// have: the work since the last checkpoint, the time that a task takes to resume, and
-	// the time that a run takes to stop. usualStopTime is when room is expected to be free.
+	// checkpointInterval, restoreTime and maxStopTime are the upper bounds seen in
+	// deployments of the work since the last checkpoint, the time that a task takes to
+	// resume, and the time that a run takes to stop. usualStopTime is the expected time from
+	// the decision to preempt a run until its room is free.
 	checkpointInterval = 2 * time.Second
 	restoreTime        = 600 * time.Millisecond
 	maxStopTime        = 900 * time.Millisecond
 	usualStopTime      = 600 * time.Millisecond
-	// preemptionMargin is how much longer than a stop a run must be expected to take.
+	// preemptionMargin is how much longer than maxStopTime a run must be expected to take,
+	// as stopping one that is about to end frees its room no sooner.
 	preemptionMargin = 500 * time.Millisecond
-	// preemptionTimeout is how long room that is being freed counts as coming.
+	// preemptionTimeout is how long the room of a preempted run is expected to become free.
+	// After it, other runs may be preempted instead.
 	preemptionTimeout = 3 * time.Second
 	// urgentFactor is how many core-seconds of lower priority a core-second of delay of the
 	// most urgent work is worth. Such a job has a fifth of its value if it is late, and each
 	// of its tasks delays the whole job.
 	urgentFactor = 4.0
-	// maxPreemptions bounds the preemptions of one decision, and maxVictims those for one
-	// task or more on one target.
+	// maxPreemptions bounds the preemptions of one decision, and maxVictims the runs that
+	// are preempted together on one target.
 	maxPreemptions = 16
 	maxVictims     = 3
 	// maxExaminedTargets and maxExaminedOptions bound the work of one decision: for how many
@@ -61,8 +64,8 @@
 	cost     float64
 }
 
-// carryPreemptions hands on the preemptions whose runs have not ended yet. Those that take
-// too long are forgotten: their room does not count as coming any more.
+// carryPreemptions passes on the preemptions whose runs have not ended yet. Those older than
+// preemptionTimeout are dropped, so that their room is no longer expected to become free.
 func (p *planner) carryPreemptions() {
 	if p.input.Urgent == nil {
 		return
@@ -205,8 +208,8 @@
 	}
 }
 
-// claimComing returns how many tasks of the step will fit on room that is free, about to be,
-// or being freed for it, and lays claim to that room.
+// claimComing returns how many tasks of the step fit in room that is free, becomes free soon,
+// or is being freed for it, and records that room as claimed.
 func (p *planner) claimComing(urgent urgentStep, candidates []*targetState) int {
 	claimed := 0
 	for _, target := range candidates {
--- a/internal/plan/prospects.go
+++ b/internal/plan/prospects.go
@@ -24,7 +24,7 @@
 	victims []victim
 	// underWay has the preemptions that are under way on the target.
 	underWay []Preemption
-	// claimed is the coming room that steps in front have a claim to.
+	// claimed is the part of this room that is expected to go to steps earlier in the order.
 	claimed quota.Resources
 }
 
@@ -71,7 +71,7 @@
 }
 
 // comingRoom returns the room that the target will have for the step without further
-// preemption. Room that is being freed for another step counts once that one waits no more.
+// preemption. Room that is being freed for another step counts once that step no longer waits.
 func (p *planner) comingRoom(step *pendingStep, target *targetState) quota.Resources {
 	room := target.free.Sub(target.prospects.claimed)
 	until := p.input.Now.Add(p.maxWait(step))
@@ -90,7 +90,7 @@
 
 // nameProspects names targets for an urgent step that is short of room, on which room may be
 // made for it or becomes free soon: approved ones whose tickets have expired, and targets that
-// the advisor was not consulted on yet. The call gets little longer by them.
+// the advisor was not consulted on yet. Further targets make the call only a little longer.
 func (p *planner) nameProspects(request *AdviceRequest, step *pendingStep, advice *StepAdvice) {
 	wanted := float64(step.missing)
 	if advice != nil {
--- a/internal/plan/reserve.go
+++ b/internal/plan/reserve.go
@@ -10,21 +10,24 @@
 
 const (
 	// scatterFactor is the ratio of the room that is kept for waiting urgent work to its
-	// demand: a step may run on some targets only, and the room is scattered over all.
+	// demand. It is more than 1, because the room is spread over all targets, and a step
+	// may run on some of them only.
 	scatterFactor = 2.0
 	// Work of lower priority is held back for maxHeldBack at a time, then served in its
-	// order for heldBackPause, however much urgent work waits.
+	// order for heldBackPause, so that lasting urgent work does not stop it altogether.
 	maxHeldBack   = 10 * time.Second
 	heldBackPause = 2 * time.Second
-	// maxUrgentTasks bounds the waiting tasks of one step that count.
+	// maxUrgentTasks bounds the waiting tasks of one step that count as urgent demand,
+	// because each of them is compared with the client account's limit.
 	maxUrgentTasks = 256
 )
 
-// UrgentState is what a decision hands on to the next about urgent work that waits for room.
+// UrgentState is the state of urgent work that waits for room. Each decision passes it to the
+// next.
 type UrgentState struct {
 	// Short has the steps that are known to wait for room.
 	Short map[StepKey]bool
-	// Since has by service since when work of lower priority is held back.
+	// Since has, by service, the time since which work of lower priority is held back.
 	Since map[string]time.Time
 	// Preemptions has the preemptions that are under way.
 	Preemptions map[graph.TaskRef]Preemption
@@ -102,7 +105,7 @@
 	if demand == nil {
 		demand = &urgentDemand{smallest: reservation}
 		p.urgent.byService[service] = demand
-		p.startHolding(service, demand)
+		p.recordHeldBack(service, demand)
 	}
 	account := step.job.ClientAccount
 	p.urgent.byAccount[account] = p.urgent.byAccount[account].Add(step.spec.Resources.Times(missing))
@@ -120,8 +123,8 @@
 	return p.input.Urgent != nil && p.input.Urgent.Short[step.key]
 }
 
-// startHolding records since when lower priorities are held back in the service.
-func (p *planner) startHolding(service string, demand *urgentDemand) {
+// recordHeldBack records since when lower priorities are held back in the service.
+func (p *planner) recordHeldBack(service string, demand *urgentDemand) {
 	since, known := p.input.Urgent.Since[service]
 	if !known {
 		since = p.input.Now
--- a/internal/push/admissions.go
+++ b/internal/push/admissions.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// burstTime is how long an account may send at once what its weight allows in that
-	// time.
+	// burstTime determines the burst of an account: it may send at once as many jobs as
+	// its rate allows in this time.
 	burstTime = 2 * time.Second
 	// admissionHistory is how far back a new leader reads admissions to find what
 	// exceeded its account's rate.
 	admissionHistory = time.Minute
 )
 
-// admissions tracks the jobs that this leader takes on: what exceeds the rate of its
+// admissions tracks the jobs that this leader admits: what exceeds the rate of its
 // client account, and which have no placement yet. The ledger must not be read with its
 // lock held, as decisions take the lock while they read the ledger.
 type admissions struct {
@@ -44,8 +44,8 @@
 	}
 }
 
-// restore replays the admissions of earlier leaders, so that this one takes the same jobs
-// for those over the rate.
+// restore replays the admissions of earlier leaders, so that this leader finds the same jobs
+// over the rate.
 func (a *admissions) restore(history []graph.Admission) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -78,7 +78,8 @@
 		OverRate:     a.meter.Exceeds(terms.ClientAccount, rateLimit(terms.Weight), now),
 		Deferrable:   s.Spec.IsDeferrable(),
 	}
-	// An attempt whose commit is uncertain may have been admitted.
+	// A job whose submission is being committed may be admitted already, so that it must
+	// not be refused.
 	if a.proposed[s.ID] > 0 {
 		return job, admit.Refusal{}, false
 	}
@@ -149,8 +150,8 @@
 	return a.overRate[id]
 }
 
-// forget removes the jobs that are over. The function may take locks that are held while
-// this type is read, as it is not called with the lock held.
+// forget removes the jobs that are over. It calls isOver without its lock held, so that
+// isOver may take locks under which this type is read.
 func (a *admissions) forget(isOver func(graph.JobID) bool, now time.Time) {
 	over := map[graph.JobID]bool{}
 	for _, id := range a.jobs() {
--- a/internal/push/evacuate.go
+++ b/internal/push/evacuate.go
@@ -66,7 +66,8 @@
 		if fault != nil || !reply.Outdated {
 			return fault
 		}
-		// The context of an instance that stood still may end late.
+		// The timer of the context may fire late after the process was paused, so the
+		// deadline is compared too.
 		if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && time.Now().After(deadline) {
 			return wire.NewFault(wire.CodeUnavailable, "evacuations have changed")
 		}
@@ -74,8 +75,8 @@
 	}
 }
 
-// evacuate checks and commits an evacuation or its withdrawal. The ledger applies any, as
-// replicas of the last release apply none.
+// evacuate checks and commits an evacuation or its withdrawal. The checks are not part of the
+// ledger's apply, as replicas of the previous release ignore the command.
 func (l *leader) evacuate(ctx context.Context, args *EvacuateArgs) (EvacuateReply, *wire.Fault) {
 	fields := logrus.Fields{
 		"domain":    args.Domain,
--- a/internal/push/flow.go
+++ b/internal/push/flow.go
@@ -11,11 +11,11 @@
 	maxProposalsInFlight  = 3
 	maxPlacementsProposed = 400
 	// minPlacementsProposed is the bound on the tasks of a decision while commits are
-	// slowest, so that placing goes on.
+	// slowest, so that placements go on.
 	minPlacementsProposed = 20
 	// slowCommitFraction is the part of a ticket's validity above which a commit is slow:
 	// 312 ms of 2.5 s. A ticket is used for a placement while it is valid for 300 ms, so a
-	// faster commit is there before it expires.
+	// faster commit completes before the ticket expires.
 	slowCommitFraction = 0.125
 	// commitTimeWeight is the weight of the newest commit in the moving average of their
 	// times.
--- a/internal/push/preempt.go
+++ b/internal/push/preempt.go
@@ -9,8 +9,8 @@
 	"github.com/jasmineward/jasmineward/internal/plan"
 )
 
-// maxTaskPreemptions bounds how often one task is stopped for urgent work, so that its job is
-// not pushed away for ever.
+// maxTaskPreemptions bounds how often one task is stopped for urgent work, so that its job
+// makes progress.
 const maxTaskPreemptions = 2
 
 // preemptions counts how often each task was stopped for urgent work.
--- a/internal/push/quarantine.go
+++ b/internal/push/quarantine.go
@@ -10,26 +10,26 @@
 )
 
 const (
-	// minQuarantine is how long a target gets no new work after a task stood still on it.
-	// It doubles with each further time that is within quarantineMemory of the last, up to
-	// maxQuarantine.
+	// minQuarantine is how long a target gets no new work after a task has stalled on it.
+	// The time doubles, up to maxQuarantine, if a task stalls there again within
+	// quarantineMemory after the last quarantine.
 	minQuarantine    = 2 * time.Second
 	maxQuarantine    = 8 * time.Second
 	quarantineMemory = 10 * time.Second
 	// quarantineDivisor bounds the targets in quarantine to this part of all, as tasks may
-	// stand still for other reasons than their targets.
+	// stall for other reasons than their targets.
 	quarantineDivisor = 8
 )
 
-// quarantine keeps new work away from targets on which tasks stood still. Such a target frees
-// the room of each task that is moved, so that in a shortage it would get the next ones. The
-// lock may be taken while the ledger is read.
+// quarantine keeps new work away from targets on which tasks have stalled. Each task that is
+// moved away frees its room there, so that in a shortage such a target would get the next ones.
+// The lock may be taken while the ledger is read.
 type quarantine struct {
 	mu     sync.Mutex
 	states map[graph.TargetID]quarantineState
 }
 
-// quarantineState has until when a target gets no work, and for how long it was kept from it.
+// quarantineState is the end and the length of a target's latest quarantine.
 type quarantineState struct {
 	until  time.Time
 	length time.Duration
@@ -71,7 +71,7 @@
 	return known && now.Before(state.until)
 }
 
-// quarantineTarget keeps new work from a target on which a task stood still.
+// quarantineTarget keeps new work away from a target on which a task has stalled.
 func (l *leader) quarantineTarget(id graph.TargetID, now time.Time) {
 	targets, _ := l.scheduler.ledger.TargetCounts()
 	length := l.quarantine.add(id, targets, now)
--- a/internal/push/recall.go
+++ b/internal/push/recall.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	// recallTimeout bounds the call of a new leader for an instance's answers. What comes
-	// later has hardly a valid ticket, as they are valid for some seconds.
+	// recallTimeout bounds the call of a new leader for an instance's answers. Later answers
+	// would hardly contain a valid ticket, as tickets are valid for some seconds.
 	recallTimeout = 2 * time.Second
-	// recallWait is how long a new leader asks the advisor nothing while it waits for the
-	// answers that instances have: a call asks again what one of them may know. Instances
-	// that are gone do not reply at all.
+	// recallWait is how long a new leader waits for the answers of all instances before it
+	// calls the advisor. An earlier call may ask for what an instance already knows. The wait
+	// is bounded, because instances that have failed do not reply.
 	recallWait = 150 * time.Millisecond
 )
 
--- a/internal/push/withhold.go
+++ b/internal/push/withhold.go
@@ -130,25 +130,25 @@
 }
 
 // startUnsent sends the start of a run that is in the ledger and not on its target, and of
-// which this leader has sent none. Without a valid ticket, where one is needed, the target
-// would refuse it. An earlier leader may have sent a start of an inherited run, so that run
-// is stopped; any other is certain never to start, and it returns true.
+// which this leader has sent none. If the run needs a ticket and has no valid one, no start is
+// sent, as the target would refuse it. startUnsent returns true if the run is then certain never
+// to start. An inherited run is not, as an earlier leader may have sent its start; it is stopped.
 func (d *driver) startUnsent(assignment graph.Assignment, key runKey, state runState) bool {
 	var ticket plan.Ticket
 	if assignment.NeedsAdvice {
 		ticket = d.leader.advice.ticket(plan.StepKeyOf(key.task), d.target.ID.ID)
 		if ticket == (plan.Ticket{}) || !ticket.IsValidAt(time.Now().Add(startTravelTime)) {
-			return d.refrain(key, state)
+			return d.withholdUnticketed(key, state)
 		}
 	}
 	d.start(key.task, key.run, ticket)
 	return false
 }
 
-// refrain sends no start of a run that lacks a ticket. It returns true if the run is
-// certain never to start. While instances may still tell its ticket, an inherited run is left
-// to the next listing.
-func (d *driver) refrain(key runKey, state runState) bool {
+// withholdUnticketed sends no start of a run that lacks a ticket. It returns true if the run is
+// certain never to start. While instances may still return the ticket of an inherited run, the
+// run is left to the next listing.
+func (d *driver) withholdUnticketed(key runKey, state runState) bool {
 	if state == runPlaced {
 		if !d.withhold(key) {
 			return false
--- a/pkg/raft/follower.go
+++ b/pkg/raft/follower.go
@@ -44,7 +44,7 @@
 }
 
 // keepEarly keeps an append that has overtaken the one before it on another connection.
-// It has been rejected, which a leader that expects this ignores.
+// It has been rejected as well, which the leader ignores while entries may be on the way.
 func (c *Core) keepEarly(m Message) {
 	if m.Index <= c.log.lastIndex() || len(m.Entries) == 0 {
 		return
--- a/pkg/rank/order.go
+++ b/pkg/rank/order.go
@@ -7,8 +7,8 @@
 )
 
 // promotedInterval is the ratio of all positions to those that go to starving work, the
-// longest waiting first. With all positions, a backlog without value would make all other
-// work late as well once it has waited for long enough.
+// longest waiting first. If such work got all positions, a backlog without value would make
+// all other work late as well.
 const promotedInterval = 4
 
 // Entry is an item to be ordered.
@@ -76,8 +76,8 @@
 }
 
 // putOverSharesBehind moves entries of accounts over their share to the end of their
-// group, which has one priority and class. What the entries in front of it would take
-// counts for an account.
+// group, which is the entries of one tier, priority, kind and class. What an account's
+// entries in front would take counts as used by it.
 func putOverSharesBehind[T any](entries []Entry[T], keys []sortKey) {
 	var behind []sortKey
 	for start := 0; start < len(keys); {
--- a/pkg/rank/rank.go
+++ b/pkg/rank/rank.go
@@ -1,8 +1,10 @@
 // Package rank orders waiting work. The order is by priority, kind, passed deadlines and
-// deadline. While resources or calls are short, work without value left goes behind all
-// other, work beyond its account's rate behind work within it, and accounts are compared
-// by their weighted dominant share. The package reads no clock: all times are relative to
-// the time of the decision.
+// deadline. If accounts have weights, work beyond its account's rate goes last in its
+// priority. While, in addition, resources or calls are short, work beyond its account's
+// rate goes behind work within it whatever the priorities, work without value left goes
+// behind both, and accounts over their weighted dominant share go behind others of the same
+// priority, kind and class. The package reads no clock: all times are relative to the time
+// of the decision.
 package rank
 
 import (
@@ -66,9 +68,9 @@
 	Rest time.Duration
 }
 
-// isAimed reports whether the work has an objective to be compared with. Long-running work
+// hasObjective reports whether the work has an objective to be compared with. Long-running work
 // does not end, and best-effort work takes what others leave.
-func (w *Work) isAimed() bool {
+func (w *Work) hasObjective() bool {
 	return !w.LongRunning && !w.BestEffort
 }
 
@@ -77,12 +79,13 @@
 	return !w.LongRunning && w.Age > w.Objective
 }
 
-// Class returns the class of the work. What is left of the work does not count: its
-// estimate is too rough to put back work for that may have been begun. The time without
-// value begins later by the whole path for the same reason.
+// Class returns the class of the work. The expected time of the rest of the work does not
+// count, because estimates are too rough to put work behind that may have begun already.
+// For the same reason, work is worthless only after the time of its whole path in addition
+// to valueFactor times its objective.
 func (w *Work) Class() Class {
 	switch {
-	case w.isAimed() && w.Age > valueFactor*w.Objective+w.Path:
+	case w.hasObjective() && w.Age > valueFactor*w.Objective+w.Path:
 		return ClassWorthless
 	case w.isPastDeadline():
 		return ClassLate
@@ -106,7 +109,7 @@
 	at    time.Duration
 }
 
-// Bits of the major part of a key, from the lowest.
+// Positions of the fields in the major part of a key. The lowest bits are the class.
 const (
 	kindShift     = 4
 	overRateShift = 6
@@ -158,14 +161,14 @@
 }
 
 // shortRule returns the rule that puts the work behind other work while something is
-// short. Best-effort work that is late was behind all other work before.
+// short. None is named for late best-effort work, which goes last in its priority anyway.
 func shortRule(w *Work, class Class) Rule {
 	switch {
 	case class == ClassWorthless:
 		return RuleWorthless
 	case w.OverRate:
 		return RuleOverRate
-	case class == ClassLate && w.isAimed():
+	case class == ClassLate && w.hasObjective():
 		return RuleLate
 	}
 	return NotBehind
--- a/pkg/rank/ratio.go
+++ b/pkg/rank/ratio.go
@@ -9,9 +9,9 @@
 	// ratioDecay is the factor by which earlier runs weigh less with each run. About the
 	// last 50 runs count.
 	ratioDecay = 0.98
-	// priorRuns is for how many runs the assumption stands that estimates are right.
+	// priorRuns is the number of runs that the initial ratio of 1 counts as.
 	priorRuns = 4
-	// minRatio and maxRatio bound the effect of a few odd runs.
+	// minRatio and maxRatio bound the effect of outliers.
 	minRatio = 0.1
 	maxRatio = 10
 )
--- a/pkg/rank/share.go
+++ b/pkg/rank/share.go
@@ -2,8 +2,8 @@
 
 import "cmp"
 
-// shareTolerance is the relative error by which an account's use may seem to be below its
-// share. The sums of which both are made depend on their order.
+// shareTolerance is the relative rounding error that is allowed for when an account's use is
+// compared with its share: floating-point sums depend on the order of their terms.
 const shareTolerance = 1e-9
 
 // Account is the part of a resource pool that an account uses and is entitled to.
