--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -2,7 +2,7 @@
 // new connection replaces the one that has been idle longest. Clients that keep
 // connections to several instances open, though they use one at a time, thereby
 // do not keep others out. Where none is idle, it replaces one that has sent nothing,
-// or one that the server gives up.
+// or one that the server is asked to close.
 package accept
 
 import (
@@ -19,7 +19,7 @@
 	silentTime = time.Second
 	// retryInterval is how often the listener looks for a connection to close.
 	retryInterval = 100 * time.Millisecond
-	// At the limit, the server is asked to give up 1/reclaimDivisor of the connections
+	// At the limit, the server is asked to close 1/reclaimDivisor of the connections
 	// at once, because it takes a while to close one.
 	reclaimDivisor = 8
 )
@@ -42,7 +42,7 @@
 	silent         *list.List
 	silentElements map[net.Conn]*list.Element
 	closed         bool
-	// reclaim asks the server to give up at most n connections that are in use, and
+	// reclaim asks the server to close at most n connections that are in use, and
 	// returns how many it does.
 	reclaim func(n int) int
 }
@@ -85,7 +85,7 @@
 
 // Accept returns the next connection. At the limit it closes the connection that
 // has been idle longest, or one that has sent nothing for silentTime. If there is
-// none, it asks the server to give up some, and waits until one is closed or idle. It
+// none, it asks the server to close some, and waits until one is closed or idle. It
 // returns net.ErrClosed after Close.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
--- a/internal/graph/admission.go
+++ b/internal/graph/admission.go
@@ -13,7 +13,7 @@
 	// estimated time of its longest chain of steps.
 	Objective    Millis
 	CriticalPath Millis
-	// ClientAccount is empty for a job of nobody in particular, which has no weight.
+	// ClientAccount is empty for a job without a client account, which has no weight.
 	ClientAccount string
 	Weight        float64
 }
--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -28,7 +28,7 @@
 	Config *Config
 	Prune  *Prune
 	Clear  *ClearSuspicion
-	// Evacuate is ignored by replicas of the release before.
+	// Evacuate is ignored by replicas of the previous release.
 	Evacuate *Evacuate `cbor:",omitempty"`
 }
 
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -303,7 +303,7 @@
 	Config  *Config
 	Jobs    []*Job
 	Targets []snapshotTarget
-	// Evacuated and EvacuationChanges are not known to the release before.
+	// Evacuated and EvacuationChanges are not known to the previous release.
 	Evacuated         []Evacuation `cbor:",omitempty"`
 	EvacuationChanges uint64       `cbor:",omitempty"`
 }
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -263,8 +263,8 @@
 	return last(targets, func(target *targetState) bool { return target.cold })
 }
 
-// targetsByNeed iterates over the targets of the step's service. Small accelerator work asks about the
-// fullest targets first, since it should leave whole targets free; work without
+// targetsByNeed iterates over the targets of the step's service. Small accelerator work asks
+// about the fullest targets first, since it should leave whole targets free; work without
 // accelerators asks about targets that have them last.
 func (p *planner) targetsByNeed(step *pendingStep) iter.Seq[*targetState] {
 	targets := p.targetsByFreeShare(p.input.View.ServiceOf(step.job))
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -89,8 +89,8 @@
 	// KeepHolds is set if both are recent enough to be kept. To compute them takes most
 	// of a decision's time.
 	KeepHolds bool
-	// MaxPlacements limits the tasks placed by the decision further than maxPlacements. Zero
-	// does not.
+	// MaxPlacements bounds the tasks placed by the decision in addition to maxPlacements.
+	// Zero means no further bound.
 	MaxPlacements int
 	// Pending contains the placements that are proposed but not yet committed
 	// to the log.
@@ -110,7 +110,8 @@
 	IdleSince map[graph.JobID]graph.Millis
 	// Turn counts the decisions.
 	Turn int
-	// Cold reports whether the target is still slow after its start. Nil stands for none.
+	// Cold reports whether the target is still slow after its start. Nil means that
+	// none is.
 	Cold func(graph.TargetID) bool
 	// Urgent is what the previous decision found of urgent work that waits for room. If it
 	// is nil, no room is kept for such work.
@@ -175,9 +176,10 @@
 	// IdleSince has since when jobs that were started before wait with nothing of them
 	// running. It is empty if no client account has a weight.
 	IdleSince map[graph.JobID]graph.Millis
-	// Preemptions are to be started. Those that are under way are part of Urgent.
+	// Preemptions are the new ones, to be carried out now. Urgent has these and those that
+	// are under way.
 	Preemptions []Preemption
-	// Urgent is handed on to the next decision.
+	// Urgent is the state to pass to the next decision.
 	Urgent UrgentState
 }
 
--- a/internal/push/advice.go
+++ b/internal/push/advice.go
@@ -276,8 +276,8 @@
 	a.updateApprovalRate(request, len(answer.Good))
 }
 
-// updateApprovalRate adds an answer, by its number of good targets, to the moving average of its queue. The lock
-// must be held.
+// updateApprovalRate adds an answer, by its number of good targets, to the moving average of
+// its queue. The lock must be held.
 func (a *adviceClient) updateApprovalRate(request plan.AdviceRequest, good int) {
 	rate := float64(good) / float64(len(request.Targets))
 	if previous, ok := a.approvalRateByQueue[request.Queue.Name]; ok {
--- a/internal/push/answers.go
+++ b/internal/push/answers.go
@@ -14,7 +14,7 @@
 	// valid.
 	maxStoredAnswers = 256
 	maxStoredBytes   = 48 << 10
-	// maxRecallBytes bounds a reply with them, which takes 90 ms on a link of 1.5 Mbit/s.
+	// maxRecallBytes bounds the reply to a recall, which takes 90 ms on a link of 1.5 Mbit/s.
 	maxRecallBytes = 16 << 10
 	// maxAnswerAge is how long answers are kept. Their tickets expire before, but not the
 	// knowledge which targets are good for a step.
--- a/internal/push/decide.go
+++ b/internal/push/decide.go
@@ -21,7 +21,8 @@
 	// holdInterval is the time after which held room is computed anew from the predicted
 	// ends of runs, which change little in that time.
 	holdInterval = 100 * time.Millisecond
-	// decisionPauseFactor is the ratio of the pause after a decision to its time.
+	// decisionPauseFactor is the ratio of the pause after a decision to its time, so that
+	// decisions take a fifth of the time at most.
 	decisionPauseFactor = 4
 )
 
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -206,8 +206,8 @@
 	return d.unsentState(key)
 }
 
-// isTooLate reports whether a start of which none was sent yet is not sent any more, because
-// the target has not answered in time, so that there is no deadline, or the ticket expires.
+// isTooLate reports whether the first start of a run must no longer be sent: the target has not
+// answered in time, so that there is no deadline, or the ticket would expire before it arrives.
 func (d *driver) isTooLate(key runKey, ticket plan.Ticket, deadline Clock, sendBy time.Time) bool {
 	return deadline == 0 && time.Now().After(sendBy) || d.withholdsExpired(key, ticket)
 }
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -33,7 +33,7 @@
 
 // drainInputs processes the queued messages, the timeouts that have expired, and the
 // queued calls and proposals. Messages come first: those that arrived during a slow sync
-// may tell that the leader is there, or that a quorum still follows this one.
+// may show that the leader is alive, or that a quorum still follows this replica.
 func (r *Replica) drainInputs() {
 	r.mu.Lock()
 	inbox, proposals, calls := r.inbox, r.proposals, r.calls
