--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -102,7 +102,7 @@
 	if until, known := g.refused[job.ID]; known && now.Before(until) {
 		return Refusal{
 			Rule:       RuleTooSoon,
-			RetryAfter: max(until.Sub(now), minRetryAfter),
+			RetryAfter: minRetryAfter,
 		}, true
 	}
 	delete(g.refused, job.ID)
@@ -127,7 +127,7 @@
 		Wait:       wait,
 		RetryAfter: retryAfter(wait-allowed, job.ID),
 	}
-	g.refused[job.ID] = now.Add(min(refusal.RetryAfter, minRetryAfter))
+	g.refused[job.ID] = now.Add(minRetryAfter)
 	return refusal, true
 }
 
--- a/internal/plan/advice.go
+++ b/internal/plan/advice.go
@@ -99,20 +99,30 @@
 // targets with room that the advisor was not consulted on yet.
 func (p *planner) nameTargets(request *AdviceRequest, step *pendingStep, advice *StepAdvice) {
 	wanted := capacityFactor * float64(p.waitingTasks(step))
-	if advice != nil {
-		for id, ticket := range advice.Approved {
-			target := p.byID[id]
-			if target == nil {
-				continue
-			}
-			if isTicketUsable(ticket, p.input.Now) {
-				wanted -= float64(p.taskCapacity(step, target))
-				continue
-			}
-			wanted -= p.addTarget(request, step, target, 1)
+	wanted -= p.countApproved(advice,
+		func(target *targetState) float64 { return float64(p.taskCapacity(step, target)) },
+		func(target *targetState) float64 { return p.addTarget(request, step, target, 1) })
+	p.nameUnknownTargets(request, step, advice, wanted)
+}
+
+// countApproved returns how many tasks the approved targets take: by capacity those with a
+// usable ticket, and by add, which names them in a request, the others.
+func (p *planner) countApproved(advice *StepAdvice, capacity, add func(*targetState) float64) float64 {
+	if advice == nil {
+		return 0
+	}
+	tasks := 0.0
+	for id, ticket := range advice.Approved {
+		target := p.byID[id]
+		switch {
+		case target == nil:
+		case isTicketUsable(ticket, p.input.Now):
+			tasks += capacity(target)
+		default:
+			tasks += add(target)
 		}
 	}
-	p.nameUnknownTargets(request, step, advice, wanted)
+	return tasks
 }
 
 // nameUnknownTargets names targets with room that the advisor was not consulted
--- a/internal/plan/prospects.go
+++ b/internal/plan/prospects.go
@@ -93,19 +93,9 @@
 // the advisor was not consulted on yet. Further targets make the call only a little longer.
 func (p *planner) nameProspects(request *AdviceRequest, step *pendingStep, advice *StepAdvice) {
 	wanted := float64(step.missing)
-	if advice != nil {
-		for id, ticket := range advice.Approved {
-			target := p.byID[id]
-			if target == nil {
-				continue
-			}
-			if isTicketUsable(ticket, p.input.Now) {
-				wanted -= float64(p.prospectiveTasks(step, target))
-				continue
-			}
-			wanted -= float64(p.addProspect(request, step, target))
-		}
-	}
+	wanted -= p.countApproved(advice,
+		func(target *targetState) float64 { return float64(p.prospectiveTasks(step, target)) },
+		func(target *targetState) float64 { return float64(p.addProspect(request, step, target)) })
 	if wanted <= 0 {
 		return
 	}
