--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -44,6 +44,9 @@
 	Address Address
 	ID      JobID
 	Spec    Spec
+	// BodyBytes is the size of the request, which the leader checks before it proposes the
+	// job. Earlier releases do not set it.
+	BodyBytes int64 `cbor:",omitempty"`
 }
 
 // Cancel cancels a job. Its active runs are stopped.
@@ -198,6 +201,7 @@
 	RefusedBadSpec     Refusal = "bad-spec"
 	RefusedQueueFull   Refusal = "queue-full"
 	RefusedNeverFits   Refusal = "never-fits"
+	RefusedTooLarge    Refusal = "too-large"
 )
 
 // Result is the outcome of applying a command.
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -37,7 +37,7 @@
 
 // CheckSubmit returns the refusal that submitting the job would meet, and
 // whether the job is already known. Unlike Apply, it also refuses jobs that no
-// target could ever run.
+// target could ever run, and bodies over the limit of the configuration.
 func (l *Ledger) CheckSubmit(s *Submit) (known bool, refusal Refusal) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -48,6 +48,9 @@
 	if l.jobs[s.ID] != nil {
 		return true, ""
 	}
+	if limit := l.config.config.MaxBody; limit > 0 && s.BodyBytes > limit {
+		return false, RefusedTooLarge
+	}
 	return false, l.checkFeasible(queue, clientAccount, s.Spec.Steps)
 }
 
