Count the backlog of other accounts only up to their share

Seen: after a crowd of one account, the ordinary job of another account with nothing waiting was answered 429 as too late for as long as was waited, 15 s (TestWholeJobsWithLongNames, on the code before).

Cause: the expected wait took all waiting jobs of the priority over the rate of first placements. A few enormous jobs keep that rate near zero, so that everybody's wait was long, although the order serves accounts by weight.

Change: of the jobs of its own priority a job waits behind those of its account, and behind as many of another account as the weights let that place meanwhile. With backlogs in the ratio of the weights this is the old number; an account with nothing waiting does not wait. TestBacklogOfOneAccountRefusesNoOther fails on the code before; TestBacklogsInTheRatioOfWeightsCountWhole guards.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -31,6 +31,8 @@
 	Account  string
 	Priority int
 	// Objective is the time in which the job should be done, and CriticalPath the time
+	// Weight is the weight of the client account, or zero if it has none.
+	Weight float64
 	// that it takes if nothing has to wait.
 	Objective    time.Duration
 	CriticalPath time.Duration
@@ -81,7 +83,7 @@
 	queued map[string]Job
 	// shared has the backlog of each priority, and accounts that of each client account
 	// at its limit.
-	shared   map[int]*backlog
+	shared   map[int]*sharedBacklog
 	accounts map[string]*backlog
 	// refused has the time before which a refused job must not come back.
 	refused map[string]time.Time
@@ -91,7 +93,7 @@
 func NewGate() *Gate {
 	return &Gate{
 		queued:   map[string]Job{},
-		shared:   map[int]*backlog{},
+		shared:   map[int]*sharedBacklog{},
 		accounts: map[string]*backlog{},
 		refused:  map[string]time.Time{},
 	}
@@ -132,11 +134,15 @@
 }
 
 // expectedWait returns how long a job would wait for its first task: the longer of the
-// waits behind all work that goes first and behind the work of its account.
+// waits behind all work that goes first and behind the work of its account. Of the work
+// of its priority, other accounts get no more done first than their shares allow.
 func (g *Gate) expectedWait(job Job, now time.Time) time.Duration {
 	var wait time.Duration
 	for priority, b := range g.shared {
-		if priority <= job.Priority {
+		switch {
+		case priority == job.Priority && !job.OverRate:
+			wait += b.expectedWaitOf(job, now)
+		case priority <= job.Priority:
 			wait += b.expectedWait(now)
 		}
 	}
@@ -162,26 +168,26 @@
 		b.placed(now)
 	}
 	if b := g.accounts[job.Account]; b != nil {
-		b.placed(now)
+		b.placedOf(job.Account, now)
 	}
 }
 
 // Update records what the admitted jobs without a placement wait for. Work over its
 // account's rate does not count: work within the rate goes first.
 func (g *Gate) Update(waits map[string]WaitKind, now time.Time) {
-	shared := map[int]int{}
+	shared := map[int]map[string]*waitingAccount{}
 	accounts := map[string]int{}
 	for id, kind := range waits {
 		job, known := g.queued[id]
 		switch {
 		case !known || job.OverRate:
 		case kind == WaitShared:
-			shared[job.Priority]++
+			addWaiting(shared, job)
 		case kind == WaitAccount:
 			accounts[job.Account]++
 		}
 	}
-	updateBacklogs(g.shared, shared, now)
+	updateShared(g.shared, shared, now)
 	updateBacklogs(g.accounts, accounts, now)
 }
 
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -220,3 +220,64 @@
 	_, refused = p.gate.Decide(job, p.now.Add(2*time.Second))
 	c.Assert(refused, qt.IsFalse)
 }
+
+// An account within its rate that sends a few enormous jobs, of which hardly any is placed,
+// must not have the jobs of accounts refused that have nothing waiting: the order serves
+// those first.
+func TestBacklogOfOneAccountRefusesNoOther(t *testing.T) {
+	c := qt.New(t)
+	g := admit.NewGate()
+	now := time.Unix(1000, 0)
+	waits := map[string]admit.WaitKind{}
+	for i := range 100 {
+		job := urgentJob(i)
+		job.ID = fmt.Sprint(i)
+		job.Weight = 1000
+		g.Admitted(job)
+		waits[job.ID] = admit.WaitShared
+	}
+	g.Update(waits, now)
+	now = now.Add(3 * time.Second)
+	g.Update(waits, now)
+	other := urgentJob(0)
+	other.ID, other.Account, other.Weight = "other", "b", 10
+	_, refused := g.Decide(other, now)
+	c.Assert(refused, qt.IsFalse)
+	own := urgentJob(0)
+	own.ID = "own"
+	refusal, refused := g.Decide(own, now)
+	c.Assert(refused, qt.IsTrue)
+	c.Assert(refusal.Rule, qt.Equals, admit.RuleTooLate)
+}
+
+// Accounts whose backlogs are in the ratio of their weights wait behind all of them, as
+// each gets its share of the placements.
+func TestBacklogsInTheRatioOfWeightsCountWhole(t *testing.T) {
+	c := qt.New(t)
+	g := admit.NewGate()
+	now := time.Unix(1000, 0)
+	waits := map[string]admit.WaitKind{}
+	add := func(account string, weight float64, n int) {
+		for i := range n {
+			job := urgentJob(i)
+			job.ID = fmt.Sprint(account, i)
+			job.Account, job.Weight = account, weight
+			g.Admitted(job)
+			waits[job.ID] = admit.WaitShared
+		}
+	}
+	add("a", 1, 10)
+	add("b", 3, 30)
+	g.Update(waits, now)
+	now = now.Add(3 * time.Second)
+	g.Update(waits, now)
+	wait := func(account string, weight float64) time.Duration {
+		job := urgentJob(0)
+		job.ID, job.Account, job.Weight = account+"-new", account, weight
+		refusal, refused := g.Decide(job, now)
+		c.Assert(refused, qt.IsTrue)
+		return refusal.Wait
+	}
+	c.Check(wait("a", 1), qt.Equals, 120*time.Second)
+	c.Check(wait("b", 3), qt.Equals, 120*time.Second)
+}
--- a/internal/push/admissions.go
+++ b/internal/push/admissions.go
@@ -76,6 +76,7 @@
 		Objective:    time.Duration(terms.Objective) * time.Millisecond,
 		CriticalPath: time.Duration(terms.CriticalPath) * time.Millisecond,
 		OverRate:     a.meter.Exceeds(terms.ClientAccount, rateLimit(terms.Weight), now),
+		Weight:       terms.Weight,
 		Deferrable:   s.Spec.IsDeferrable(),
 	}
 	// A job whose submission is being committed may be admitted already, so that it must
