Bound the memory that the jobs of a cell take

Cause: nothing bounded what one account, or all, may have stored.

Change: the ledger sums up an estimate of what jobs take, by client account, ended ones included until they are deleted. The leader refuses before it proposes: 413 if a job could not be stored beside no other, 429 (rule no-room) if it has no room now. An account may use as much as remains free, so that there is always room for the next. What waits for a quorum is bounded by as much. Nothing that is stored or applied changes: replicas of the last release apply the same commands.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -14,9 +14,10 @@
 	minBacklogTime = time.Second
 	// valueFactor is how many times its objective a job may take and still be of use.
 	valueFactor = 3
-	// minRetryAfter is longer than one attempt of a call to the leader, so that an
+	// MinRetryAfter is longer than one attempt of a call to the leader, so that an
 	// attempt that is still on its way can't be admitted after the next was refused.
-	minRetryAfter = 2 * time.Second
+	MinRetryAfter = 2 * time.Second
+
 	// jitterFraction spreads the times to come back over a part of the delay, so that
 	// clients that were refused together do not come back together.
 	jitterFraction = 1.0
@@ -42,6 +43,8 @@
 	// one that runs until it is cancelled.
 	Deferrable bool
 }
+	// NoRoom is set if there is no room to store the job for its client account.
+	NoRoom bool
 
 // Rule names the reason for a refusal.
 type Rule string
@@ -56,6 +59,8 @@
 	// RuleTooSoon means that the job was refused a moment ago and came back too early.
 	RuleTooSoon Rule = "too-soon"
 )
+	// RuleNoRoom means that the jobs of the client account take too much memory.
+	RuleNoRoom Rule = "no-room"
 
 // Refusal says why a job is not taken on.
 type Refusal struct {
@@ -104,11 +109,18 @@
 	if until, known := g.refused[job.ID]; known && now.Before(until) {
 		return Refusal{
 			Rule:       RuleTooSoon,
-			RetryAfter: minRetryAfter,
+			RetryAfter: MinRetryAfter,
 		}, true
 	}
 	delete(g.refused, job.ID)
 	if job.Deferrable {
+	if job.NoRoom {
+		g.refused[job.ID] = now.Add(MinRetryAfter)
+		return Refusal{
+			Rule:       RuleNoRoom,
+			RetryAfter: retryAfter(maxBaseDelay, job.ID),
+		}, true
+	}
 		return Refusal{}, false
 	}
 	wait := g.expectedWait(job, now)
@@ -129,7 +141,7 @@
 		Wait:       wait,
 		RetryAfter: retryAfter(wait-allowed, job.ID),
 	}
-	g.refused[job.ID] = now.Add(minRetryAfter)
+	g.refused[job.ID] = now.Add(MinRetryAfter)
 	return refusal, true
 }
 
--- a/internal/admit/backlog.go
+++ b/internal/admit/backlog.go
@@ -68,7 +68,7 @@
 // retryAfter returns the time in which the excess wait is gone, within its bounds and
 // spread by the job's id.
 func retryAfter(excess time.Duration, id string) time.Duration {
-	base := min(max(excess, minRetryAfter), maxBaseDelay)
+	base := min(max(excess, MinRetryAfter), maxBaseDelay)
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
 	// The remainder depends on the lower bits too. The upper bits alone are alike for
--- a/internal/graph/ledger.go
+++ b/internal/graph/ledger.go
@@ -35,6 +35,8 @@
 	// evacuationChanges counts how often that changed.
 	evacuated         map[string]Millis
 	evacuationChanges uint64
+	// stored has the estimated memory of the jobs.
+	stored footprints
 	// finished collects the jobs that the current command brings to a final
 	// state.
 	finished []FinishedJob
@@ -60,6 +62,7 @@
 	l.blames = map[TaskRef]Blame{}
 	l.evacuated = map[string]Millis{}
 	l.evacuationChanges = 0
+	l.stored = footprints{accounts: map[string]int64{}}
 }
 
 // Apply applies a command to the state.
@@ -163,6 +166,7 @@
 	l.jobs[job.ID] = job
 	l.liveJobs[job.ID] = job
 	l.pendingByQueue[job.Queue]++
+	l.stored.add(job.ClientAccount, job.footprint())
 	return Result{}
 }
 
@@ -195,6 +199,7 @@
 	for _, b := range job.Blames {
 		delete(l.blames, b.Task)
 	}
+	l.stored.add(job.ClientAccount, jobFootprint-job.footprint())
 	job.State = state
 	job.Ended = l.now
 	job.Spec = Spec{}
@@ -221,6 +226,7 @@
 	for id, job := range l.jobs {
 		if job.State.Final() && job.Ended < before && !active[id] {
 			delete(l.jobs, id)
+			l.stored.add(job.ClientAccount, -jobFootprint)
 		}
 	}
 }
@@ -390,6 +396,7 @@
 	}
 	for _, job := range s.Jobs {
 		l.jobs[job.ID] = job
+		l.stored.add(job.ClientAccount, job.footprint())
 		if job.State.Final() {
 			continue
 		}
--- a/internal/push/admissions.go
+++ b/internal/push/admissions.go
@@ -65,8 +65,11 @@
 	}
 }
 
-// decide returns the job as the gate sees it, and its refusal if it is refused.
-func (a *admissions) decide(s *graph.Submit, terms graph.Terms, now time.Time) (admit.Job, admit.Refusal, bool) {
+// decide returns the job as the gate sees it, and its refusal if it is refused. HasRoom
+// tells whether there is room to store it.
+func (a *admissions) decide(
+	s *graph.Submit, terms graph.Terms, hasRoom bool, now time.Time,
+) (admit.Job, admit.Refusal, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	job := admit.Job{
@@ -78,6 +81,7 @@
 		OverRate:     a.meter.Exceeds(terms.ClientAccount, rateLimit(terms.Weight), now),
 		Weight:       terms.Weight,
 		Deferrable:   s.Spec.IsDeferrable(),
+		NoRoom:       !hasRoom,
 	}
 	// A job whose submission is being committed may be admitted already, so that it must
 	// not be refused.
--- a/internal/push/admissions_test.go
+++ b/internal/push/admissions_test.go
@@ -49,11 +49,13 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	a := withBacklog(plan.ReasonNoCapacity, now)
+	terms := admissionTerms
+	terms.ClientAccount = "b"
 	done := a.propose("j")
-	_, _, refused := a.decide(submission("j"), admissionTerms, now)
+	_, _, refused := a.decide(submission("j"), terms, true, now)
 	c.Check(refused, qt.IsFalse)
 	done()
-	_, refusal, refused := a.decide(submission("j"), admissionTerms, now)
+	_, refusal, refused := a.decide(submission("j"), terms, true, now)
 	c.Check(refused, qt.IsTrue)
 	c.Check(refusal.Rule, qt.Equals, admit.RuleTooLate)
 }
@@ -63,7 +65,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	a := withBacklog(plan.ReasonClientAccountLimit, now)
-	_, _, refused := a.decide(submission("j"), admissionTerms, now)
+	_, _, refused := a.decide(submission("j"), admissionTerms, true, now)
 	c.Check(refused, qt.IsFalse)
 }
 
@@ -77,7 +79,7 @@
 	for i := range 100 {
 		id := fmt.Sprint("j", i)
 		at := start.Add(time.Duration(i) * 40 * time.Millisecond)
-		job, _, _ := first.decide(submission(id), admissionTerms, at)
+		job, _, _ := first.decide(submission(id), admissionTerms, true, at)
 		first.admitted(graph.JobID(id), job, at)
 		if job.OverRate {
 			over++
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -35,7 +35,14 @@
 		l.recordAdmission(s, refusal, false)
 		return Answer{Refusal: refusal}, nil
 	}
-	job, overload, refused := l.admissions.decide(s, terms, time.Now())
+	footprint := s.Spec.Footprint()
+	if !l.room.canHold(footprint) {
+		l.recordAdmission(s, graph.RefusedTooLarge, false)
+		return Answer{Refusal: graph.RefusedTooLarge}, nil
+	}
+	release, hasRoom := l.room.reserve(terms.ClientAccount, footprint)
+	defer release()
+	job, overload, refused := l.admissions.decide(s, terms, hasRoom, time.Now())
 	if refused {
 		l.recordOverload(s, terms, overload)
 		return Answer{
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -77,6 +77,8 @@
 	// admissions has the jobs that wait for their first placement, and those over the
 	// rate of their client account.
 	admissions *admissions
+	// room bounds the memory that jobs take.
+	room *jobRoom
 	// losses has the losses of targets that this leader has seen, by address.
 	losses *blame.Monitor[string, graph.TargetID, graph.TaskRef]
 	// startLatency estimates the time until a start is answered.
@@ -138,6 +140,7 @@
 		uncertainPlacements: map[graph.TargetID]int{},
 
 		admissions: newAdmissions(),
+		room:       newJobRoom(s.ledger, s.maxJobBytes),
 		quarantine: newQuarantine(),
 
 		moving: map[graph.TaskRef]uint32{},
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -75,9 +75,16 @@
 	return nil
 }
 
-// Submit admits a job.
+// Submit admits a job. While too many submissions are being handled it replies with a
+// fault, after which the call is made again.
 func (c *rpcService) Submit(args *graph.Submit, reply *wire.Reply[Answer]) error {
 	return serveAsLeader(c.scheduler, reply, func(ctx context.Context, l *leader) (Answer, *wire.Fault) {
+	footprint := args.Spec.Footprint()
+	if !c.scheduler.calls.acquire(footprint) {
+		reply.Fault = wire.NewFault(wire.CodeUnavailable, "too many submissions are being handled")
+		return nil
+	}
+	defer c.scheduler.calls.release(footprint)
 		return l.submit(ctx, args)
 	})
 }
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -30,7 +30,10 @@
 	answers *answerStore
 	// domains are the failure domains that may be evacuated. If it is empty, those of
 	// known targets may.
-	domains       []string
+	domains []string
+	// maxJobBytes bounds the memory that jobs take; zero means no limit.
+	maxJobBytes   int64
+	calls         callRoom
 	currentLeader atomic.Pointer[leader]
 	// configuredAt is when the configuration came into force here, in Unix
 	// milliseconds.
@@ -48,6 +51,15 @@
 	return func(s *Scheduler) { s.domains = domains }
 }
 
+// WithMaxJobBytes bounds the memory that all jobs take on a replica, in bytes. Submissions
+// beyond it are refused. Without it there is no bound.
+func WithMaxJobBytes(bytes int64) Option {
+	return func(s *Scheduler) {
+		s.maxJobBytes = bytes
+		s.calls.limit = bytes
+	}
+}
+
 // NewScheduler returns a scheduler that calls targets and the advisor through
 // the given interfaces.
 func NewScheduler(
@@ -65,6 +77,8 @@
 	}
 	s.host = host
 	s.cell = hostedCell{host}
+	s.AddGauge("jasmineward_job_bytes", "Estimated memory that the jobs in the ledger take.",
+		func() float64 { total, _ := s.ledger.Stored(""); return float64(total) })
 	s.AddGauge("jasmineward_voters", "Voters of the group; zero on an instance that does not lead.",
 		func() float64 { all, _ := host.Voters(); return float64(all) })
 	s.AddGauge("jasmineward_voters_silent", "Voters that have not replied to this leader for a second.",
