--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -48,6 +48,11 @@
 	// ReplaceVoterAfter is how long a voter may be unresponsive before a
 	// learner replaces it.
 	ReplaceVoterAfter time.Duration
+	// MaxLogBytes bounds the entries of the log between two snapshots; zero means no
+	// bound but their number.
+	MaxLogBytes int
+	// MaxPeerConns bounds the connections that other instances open; zero means no bound.
+	MaxPeerConns int
 	// OnLogSync is called with the duration of each synced write to the log. It
 	// may be nil.
 	OnLogSync func(time.Duration)
@@ -92,7 +97,7 @@
 // registered on Host.Server until Run is called.
 func NewHost(cfg Config, machine raft.StateMachine, log *logrus.Logger) (*Host, error) {
 	traffic := &peer.Traffic{}
-	server, err := peer.Listen(cmp.Or(cfg.Listen, cfg.Address), nil, traffic)
+	server, err := peer.Listen(cmp.Or(cfg.Listen, cfg.Address), nil, traffic, peer.WithMaxConns(cfg.MaxPeerConns))
 	if err != nil {
 		return nil, errors.Wrap(err, "create group host")
 	}
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -123,17 +123,22 @@
 	h.identity = id
 	h.storage = storage
 	h.transport = peer.NewRaftTransport(id.Cell, h.dialer, h.addressOf)
+	options := []raft.ReplicaOption{
+		raft.WithClock(bootClock()),
+		raft.WithLostLeadHandler(h.reportLostLead),
+		raft.WithSnapshotInterval(snapshotInterval),
+		raft.WithTrailingEntries(trailingEntries),
+	}
+	if h.cfg.MaxLogBytes > 0 {
+		options = append(options, raft.WithMaxLogBytes(h.cfg.MaxLogBytes))
+	}
 	replica, err := raft.NewReplica(raft.CoreConfig{
 		ID:                id.ID,
 		ElectionTimeout:   h.cfg.ElectionTimeout,
 		HeartbeatInterval: h.cfg.HeartbeatInterval,
 		MaxBatchBytes:     maxBatchBytes,
 		Seed:              uint64(id.ID),
-	}, h.withSyncTiming(storage), h.transport, h.stateMachine,
-		raft.WithClock(bootClock()),
-		raft.WithLostLeadHandler(h.reportLostLead),
-		raft.WithSnapshotInterval(snapshotInterval),
-		raft.WithTrailingEntries(trailingEntries))
+	}, h.withSyncTiming(storage), h.transport, h.stateMachine, options...)
 	if err != nil {
 		return err
 	}
--- a/pkg/raft/memlog.go
+++ b/pkg/raft/memlog.go
@@ -57,6 +57,21 @@
 	return append([]Entry(nil), part...)
 }
 
+// countBefore returns how many of the entries up to the index, from there backwards, have
+// at most maxBytes together.
+func (l *memLog) countBefore(index uint64, maxBytes int) uint64 {
+	size := 0
+	count := uint64(0)
+	for i := index; i >= l.firstIndex() && i <= l.lastIndex(); i-- {
+		size += len(l.entries[i-l.firstIndex()].Data) + entryOverhead
+		if size > maxBytes {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 func (l *memLog) append(entries ...Entry) {
 	l.entries = append(l.entries, entries...)
 	for _, e := range entries {
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -74,6 +74,7 @@
 	now              func() time.Duration
 	snapshotInterval uint64
 	trailingEntries  uint64
+	maxLogBytes      int
 	onLostLead       func(LostLead)
 
 	mu        sync.Mutex
@@ -134,6 +135,13 @@
 	return func(r *Replica) { r.snapshotInterval = entries }
 }
 
+// WithMaxLogBytes sets the size of the entries that may follow a snapshot before the next
+// one is saved, whatever their number, and that are kept in memory behind it. The entries
+// take that much memory and disk until then. By default only their number counts.
+func WithMaxLogBytes(bytes int) ReplicaOption {
+	return func(r *Replica) { r.maxLogBytes = bytes }
+}
+
 // WithClock sets the clock used for leases and elections. The clock must be
 // monotonic and must include the time during which the machine is suspended, so
 // that the lease of a leader has expired when its machine resumes.
@@ -183,6 +191,7 @@
 		onLostLead:       func(LostLead) {},
 		snapshotInterval: defaultSnapshotInterval,
 		trailingEntries:  defaultTrailingEntries,
+		maxLogBytes:      noByteLimit,
 		wake:             make(chan struct{}, 1),
 		waiters:          make(map[uint64]*proposal),
 		reads:            make(map[uint64]chan readResult),
--- a/pkg/raft/replica_test.go
+++ b/pkg/raft/replica_test.go
@@ -161,6 +161,47 @@
 	}
 }
 
+// Large commands, of which many fit between two snapshots by their number, took more disk
+// and memory than a machine has.
+func TestLogIsCompactedBySize(t *testing.T) {
+	const commandBytes, commands, maxLogBytes = 8 << 10, 300, 128 << 10
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	dir := t.TempDir()
+	storage := openStorage(t, dir, true)
+	defer func() { _ = storage.Close() }()
+	r, err := raft.NewReplica(raft.CoreConfig{
+		ID:              1,
+		ElectionTimeout: 100 * time.Millisecond,
+	}, storage, &memoryTransport{replicas: map[raft.ID]*raft.Replica{}}, &counter{},
+		raft.WithSnapshotInterval(1<<20), raft.WithTrailingEntries(1<<20), raft.WithMaxLogBytes(maxLogBytes))
+	c.Assert(err, qt.IsNil)
+	defer r.Stop()
+	proposeWithRetry(ctx, t, r)
+	for range commands {
+		_, err := r.Propose(ctx, make([]byte, commandBytes))
+		c.Assert(err, qt.IsNil)
+	}
+	for sizeOf(c, dir) > 4*maxLogBytes {
+		c.Assert(ctx.Err(), qt.IsNil, qt.Commentf("%d bytes on disk", sizeOf(c, dir)))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// sizeOf returns the size of the files in the directory.
+func sizeOf(c *qt.C, dir string) int64 {
+	entries, err := os.ReadDir(dir)
+	c.Assert(err, qt.IsNil)
+	var size int64
+	for _, entry := range entries {
+		if info, err := entry.Info(); err == nil {
+			size += info.Size()
+		}
+	}
+	return size
+}
+
 func ExampleReplica() {
 	dir, err := os.MkdirTemp("", "raft-")
 	if err != nil {
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -211,6 +211,7 @@
 // lastSnapshot is the index of the newest snapshot.
 func (r *Replica) applyLoop(lastSnapshot uint64) {
 	defer r.wg.Done()
+	logBytes := 0
 	leading := false
 	defer func() {
 		if leading {
@@ -224,6 +225,7 @@
 				return
 			}
 			lastSnapshot = item.install.Index
+			logBytes = 0
 			r.setApplied(lastSnapshot)
 		}
 		if item.lostLeadership && leading {
@@ -231,6 +233,7 @@
 			r.machine.LostLeadership()
 		}
 		for _, e := range item.entries {
+			logBytes += len(e.Data) + entryOverhead
 			if r.applyEntry(e) && !leading {
 				leading = true
 				r.machine.BecameLeader(e.Term)
@@ -239,8 +242,10 @@
 		if n := len(item.entries); n > 0 {
 			last := item.entries[n-1].Index
 			r.setApplied(last)
-			if last-lastSnapshot >= r.snapshotInterval && r.startSnapshot(last) {
+			due := last-lastSnapshot >= r.snapshotInterval || logBytes >= r.maxLogBytes
+			if due && r.startSnapshot(last) {
 				lastSnapshot = last
+				logBytes = 0
 			}
 		}
 	}
@@ -333,7 +338,7 @@
 	if meta.Index <= r.core.snapshot.Index {
 		return
 	}
-	r.core.Compact(meta, r.trailingEntries)
+	r.core.Compact(meta, min(r.trailingEntries, r.core.log.countBefore(meta.Index, r.maxLogBytes)))
 	_, entries := r.core.Retained()
 	stable := entries
 	for n := len(stable); n > 0 && stable[n-1].Index > r.core.stable; n-- {
