Bound the connections to the port for instances, and grow buffers as frames arrive

Looked at by reading: the port took any number of connections, each with 128 KiB of buffers for as long as it stayed open, and allocated 16 MiB when four bytes had announced them.

A new one replaces the oldest over which no call came, then the one whose last call is the oldest, so that those between instances stay. The buffer of a frame grows by what has arrived.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -22,6 +24,8 @@
 	maxFrameSize = 16 << 20
 	// bufferSize is the size in bytes of each of the buffers of a connection.
 	bufferSize = 64 << 10
+	// growthFactor is how many times larger the buffer of a large frame gets each time.
+	growthFactor = 4
 )
 
 var (
@@ -128,9 +132,24 @@
 	if size > maxFrameSize {
 		return nil, errors.Wrapf(ErrMalformedFrame, "%d bytes exceed the frame size limit", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(f.reader, data); err != nil {
-		return nil, err
+	return f.readGrowing(int(size))
+}
+
+// readGrowing reads a frame of the size into a buffer that grows with what has arrived, so
+// that a sender which announces a large frame takes no memory before it sends it.
+func (f *framedConn) readGrowing(size int) ([]byte, error) {
+	data := make([]byte, 0, min(size, bufferSize))
+	for len(data) < size {
+		if len(data) == cap(data) {
+			larger := make([]byte, len(data), min(size, growthFactor*cap(data)))
+			copy(larger, data)
+			data = larger
+		}
+		n, err := io.ReadFull(f.reader, data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil {
+			return nil, err
+		}
 	}
 	return data, nil
 }
@@ -160,7 +179,12 @@
 }
 
 // serverCodec is the net/rpc codec of a server.
-type serverCodec struct{ *framedConn }
+type serverCodec struct {
+	*framedConn
+
+	// calledAt takes the time of each request, in nanoseconds of Unix time.
+	calledAt *atomic.Int64
+}
 
 var _ rpc.ServerCodec = serverCodec{}
 
@@ -169,6 +193,9 @@
 	h, err := c.readHeader()
 	r.ServiceMethod = h.Method
 	r.Seq = h.Seq
+	if err == nil {
+		c.calledAt.Store(time.Now().UnixNano())
+	}
 	return err
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,22 +29,49 @@
 	Written atomic.Int64
 }
 
+// ServerOption changes a Server.
+type ServerOption func(*Server)
+
+// WithMaxConns bounds the open connections. A new one beyond it replaces the oldest one
+// that has sent no call, or else the one whose last call is the oldest. Zero means no
+// limit.
+func WithMaxConns(limit int) ServerOption {
+	return func(s *Server) { s.maxConns = limit }
+}
+
 // Server serves RPC calls from other instances.
 type Server struct {
 	listener   net.Listener
 	ordered    *rpc.Server
 	concurrent *rpc.Server
 	traffic    *Traffic
+	maxConns   int
 
 	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	conns  map[net.Conn]*serverConn
 	closed bool
 	wg     sync.WaitGroup
 }
 
+// serverConn is what a server knows of an open connection.
+type serverConn struct {
+	opened time.Time
+	// calledAt is when the last call came, in nanoseconds of Unix time, or zero.
+	calledAt atomic.Int64
+}
+
+// isCloserToEnd reports whether the connection is to be closed before the other one.
+func (c *serverConn) isCloserToEnd(other *serverConn) bool {
+	a, b := c.calledAt.Load(), other.calledAt.Load()
+	if a == 0 && b == 0 {
+		return c.opened.Before(other.opened)
+	}
+	return a < b
+}
+
 // Listen returns a server that listens on the address. With a nil TLS
 // configuration it uses plain TCP.
-func Listen(address string, config *tls.Config, traffic *Traffic) (*Server, error) {
+func Listen(address string, config *tls.Config, traffic *Traffic, opts ...ServerOption) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
@@ -52,13 +79,17 @@
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	return &Server{
+	s := &Server{
 		listener:   listener,
 		ordered:    rpc.NewServer(),
 		concurrent: rpc.NewServer(),
 		traffic:    traffic,
-		conns:      map[net.Conn]bool{},
-	}, nil
+		conns:      map[net.Conn]*serverConn{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s, nil
 }
 
 // Address returns the address that the server listens on.
@@ -101,28 +132,45 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if !s.track(conn) {
+		tracked := s.track(conn)
+		if tracked == nil {
 			return
 		}
-		go s.serveConn(conn)
+		go s.serveConn(conn, tracked)
 	}
 }
 
-// track records the connection, so that Close closes it. It reports whether the
-// server is open; otherwise it closes the connection itself.
-func (s *Server) track(conn net.Conn) bool {
+// track records the connection, so that Close closes it. If the server is closed, it
+// closes the connection itself and returns nil.
+func (s *Server) track(conn net.Conn) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = conn.Close()
-		return false
+		return nil
 	}
-	s.conns[conn] = true
+	if s.maxConns > 0 && len(s.conns) >= s.maxConns {
+		s.closeOne()
+	}
+	tracked := &serverConn{opened: time.Now()}
+	s.conns[conn] = tracked
 	s.wg.Add(1)
-	return true
+	return tracked
+}
+
+// closeOne closes the connection that is closest to its end. The lock must be held.
+func (s *Server) closeOne() {
+	var first net.Conn
+	for conn, tracked := range s.conns {
+		if first == nil || tracked.isCloserToEnd(s.conns[first]) {
+			first = conn
+		}
+	}
+	delete(s.conns, first)
+	_ = first.Close()
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(conn net.Conn, tracked *serverConn) {
 	defer s.wg.Done()
 	defer s.untrack(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(modeTimeout))
@@ -131,10 +179,13 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	codec := serverCodec{newFramedConn(countingConn{
-		Conn:    conn,
-		traffic: s.traffic,
-	})}
+	codec := serverCodec{
+		framedConn: newFramedConn(countingConn{
+			Conn:    conn,
+			traffic: s.traffic,
+		}),
+		calledAt: &tracked.calledAt,
+	}
 	switch mode[0] {
 	case modeConcurrent:
 		s.concurrent.ServeCodec(codec)
