Replace connections whose header never ends, or that withhold an unread body

Seen: 300 clients that open connections to the readiness listener and never end a header, or send a body that a probe has not, keep the probe from being answered for 15 s, so that the provider sends no callers to the instance (TestProbesBesideSlowHeaders, TestProbesBesideSlowBodies); 1,200 at the callers' listener do the same to ordinary callers (TestCallersBesideSlowHeaders).

Cause: at the limit of connections a listener closed idle ones and those without a byte. One byte made a connection busy until the time of its header (3 s) or of its body (10 s) was over, and there were 16 places.

Change: the listener knows when a handler serves a connection.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -1,12 +1,13 @@
 // Package accept limits the open connections of an HTTP server. At the limit, a
 // new connection replaces the one that has been idle longest. Clients that keep
 // connections to several instances open, though they use one at a time, thereby
-// do not keep others out. Where none is idle, it replaces one that has sent nothing,
-// or one that the server is asked to close.
+// do not keep others out. Where none is idle, it replaces one that has sent nothing or
+// no complete header, or one that the server is asked to close.
 package accept
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -14,9 +15,9 @@
 )
 
 const (
-	// silentTime is how long a connection may send nothing before it may be replaced.
-	// Clients send their first request at once.
-	silentTime = time.Second
+	// defaultSilentTime is longer than a client takes to send its first request, and short
+	// enough that a crowd which opens connections anew is worked off before others give up.
+	defaultSilentTime = 250 * time.Millisecond
 	// retryInterval is how often the listener looks for a connection to close.
 	retryInterval = 100 * time.Millisecond
 	// At the limit, the server is asked to close 1/reclaimDivisor of the connections
@@ -25,7 +26,8 @@
 )
 
 // Listener limits the open connections of the HTTP server that it is used with.
-// The server's ConnState must be set to the listener's ConnState method.
+// The server's ConnState and ConnContext must be set to the listener's methods, and its
+// handler be wrapped by Handler.
 type Listener struct {
 	net.Listener
 
@@ -41,21 +43,37 @@
 	// silent has the connections that have sent nothing yet, in the order of arrival.
 	silent         *list.List
 	silentElements map[net.Conn]*list.Element
-	closed         bool
+	// partial has the connections that have sent a part of a header, or not yet the rest of a
+	// request that was answered, in the order in which that began.
+	partial         *list.List
+	partialElements map[net.Conn]*list.Element
+	closed          bool
 	// reclaim asks the server to close at most n connections that are in use, and
 	// returns how many it does.
 	reclaim func(n int) int
+	// silentTime is how long a connection may send nothing, or no complete header, before
+	// it may be replaced.
+	silentTime time.Duration
 }
 
-// silentConn is a connection that has sent nothing yet.
-type silentConn struct {
+// waitingConn is a connection of which something is awaited since a time.
+type waitingConn struct {
 	conn net.Conn
 	at   time.Time
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
 // Option changes a Listener.
 type Option func(*Listener)
 
+// WithSilentTime sets how long a connection may send nothing, no complete header, or not the
+// rest of a request that was answered, before it may be replaced.
+func WithSilentTime(d time.Duration) Option {
+	return func(l *Listener) { l.silentTime = d }
+}
+
 // WithReclaim sets a function that is called at the limit, if no connection is idle.
 // It makes the server close at most n connections, and returns how many.
 func WithReclaim(reclaim func(n int) int) Option {
@@ -67,14 +85,17 @@
 // NewListener returns a listener that keeps at most limit connections open.
 func NewListener(inner net.Listener, limit int, opts ...Option) *Listener {
 	l := &Listener{
-		Listener:       inner,
-		limit:          limit,
-		open:           map[net.Conn]bool{},
-		idle:           list.New(),
-		elements:       map[net.Conn]*list.Element{},
-		silent:         list.New(),
-		silentElements: map[net.Conn]*list.Element{},
-		reclaim:        func(int) int { return 0 },
+		Listener:        inner,
+		limit:           limit,
+		open:            map[net.Conn]bool{},
+		idle:            list.New(),
+		elements:        map[net.Conn]*list.Element{},
+		silent:          list.New(),
+		silentElements:  map[net.Conn]*list.Element{},
+		partial:         list.New(),
+		partialElements: map[net.Conn]*list.Element{},
+		reclaim:         func(int) int { return 0 },
+		silentTime:      defaultSilentTime,
 	}
 	l.freed = sync.NewCond(&l.mu)
 	for _, opt := range opts {
@@ -84,8 +105,8 @@
 }
 
 // Accept returns the next connection. At the limit it closes the connection that
-// has been idle longest, or one that has sent nothing for silentTime. If there is
-// none, it asks the server to close some, and waits until one is closed or idle. It
+// has been idle longest, or one that has sent nothing, or no complete request, for some
+// time. If there is none, it asks the server to close some, and waits until one is closed or idle. It
 // returns net.ErrClosed after Close.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
@@ -96,7 +117,7 @@
 	defer l.mu.Unlock()
 	reclaimed := 0
 	for len(l.open) >= l.limit && !l.closed {
-		if l.closeIdle() || l.closeSilent() {
+		if l.closeIdle() || l.closeOldest(l.silent) || l.closeOldest(l.partial) {
 			continue
 		}
 		if reclaimed == 0 {
@@ -111,22 +132,22 @@
 		return nil, net.ErrClosed
 	}
 	l.open[conn] = true
-	l.silentElements[conn] = l.silent.PushBack(silentConn{
+	l.silentElements[conn] = l.silent.PushBack(waitingConn{
 		conn: conn,
 		at:   time.Now(),
 	})
 	return conn, nil
 }
 
-// closeSilent closes the oldest connection that has sent nothing, if it is old enough,
-// and reports whether there was one. The lock must be held.
-func (l *Listener) closeSilent() bool {
-	front := l.silent.Front()
+// closeOldest closes the oldest connection of which something is awaited, if it is old
+// enough, and reports whether there was one. The lock must be held.
+func (l *Listener) closeOldest(conns *list.List) bool {
+	front := conns.Front()
 	if front == nil {
 		return false
 	}
-	oldest, _ := front.Value.(silentConn)
-	if time.Since(oldest.at) < silentTime {
+	oldest, _ := front.Value.(waitingConn)
+	if time.Since(oldest.at) < l.silentTime {
 		return false
 	}
 	l.forget(oldest.conn)
@@ -151,17 +172,55 @@
 func (l *Listener) forget(conn net.Conn) {
 	delete(l.open, conn)
 	l.setActive(conn)
+	remove(l.partial, l.partialElements, conn)
 }
 
 // setActive removes a connection from the idle and silent ones. The lock must be held.
 func (l *Listener) setActive(conn net.Conn) {
-	if element := l.elements[conn]; element != nil {
-		l.idle.Remove(element)
-		delete(l.elements, conn)
+	remove(l.idle, l.elements, conn)
+	remove(l.silent, l.silentElements, conn)
+}
+
+// remove removes a connection from a list, if it is in it.
+func remove(conns *list.List, elements map[net.Conn]*list.Element, conn net.Conn) {
+	if element := elements[conn]; element != nil {
+		conns.Remove(element)
+		delete(elements, conn)
 	}
-	if element := l.silentElements[conn]; element != nil {
-		l.silent.Remove(element)
-		delete(l.silentElements, conn)
+}
+
+// ConnContext puts the connection into the context of its requests.
+func (l *Listener) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// Handler returns a handler that records while next serves a request, whose connection is
+// not replaced meanwhile.
+func (l *Listener) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(net.Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		l.mu.Lock()
+		remove(l.partial, l.partialElements, conn)
+		l.mu.Unlock()
+		next.ServeHTTP(w, r)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.awaitRest(conn)
+	})
+}
+
+// awaitRest records that a part of a request is awaited on the connection. The lock must be
+// held.
+func (l *Listener) awaitRest(conn net.Conn) {
+	if l.open[conn] && l.partialElements[conn] == nil {
+		l.partialElements[conn] = l.partial.PushBack(waitingConn{
+			conn: conn,
+			at:   time.Now(),
+		})
 	}
 }
 
@@ -172,7 +231,9 @@
 	switch state {
 	case http.StateActive:
 		l.setActive(conn)
+		l.awaitRest(conn)
 	case http.StateIdle:
+		remove(l.partial, l.partialElements, conn)
 		if l.open[conn] {
 			l.elements[conn] = l.idle.PushBack(conn)
 			l.freed.Signal()
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -34,12 +34,13 @@
 	httpServer := &http.Server{
 		ReadHeaderTimeout: time.Minute,
 		ConnState:         listener.ConnState,
-		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ConnContext:       listener.ConnContext,
+		Handler: listener.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/wait" {
 				s.waiting <- struct{}{}
 				<-s.released
 			}
-		}),
+		})),
 	}
 	done := make(chan struct{})
 	go func() {
@@ -126,3 +127,24 @@
 	s.c.Assert(<-first, qt.IsNil)
 	s.c.Check(<-asked, qt.Equals, 1)
 }
+
+// Connections whose header never ends, or that do not send the rest of a request which was
+// answered, took up all that a listener allows until their time was over.
+func TestPartialRequestsMakeRoom(t *testing.T) {
+	for name, text := range map[string]string{
+		"header": "GET / HTTP/1.1\r\nHost: h\r\nX-Long: a",
+		"body":   "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\na",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, 2, WithSilentTime(50*time.Millisecond))
+			for range 4 {
+				conn, err := net.Dial("tcp", strings.TrimPrefix(s.address, "http://"))
+				s.c.Assert(err, qt.IsNil)
+				s.c.Cleanup(func() { _ = conn.Close() })
+				_, err = io.WriteString(conn, text)
+				s.c.Assert(err, qt.IsNil)
+			}
+			s.c.Assert(s.get("/", 10*time.Second), qt.IsNil)
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,12 +127,13 @@
 		log:    log,
 		done:   make(chan struct{}),
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           limited.Handler(handler),
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			WriteTimeout:      limits.ResponseTimeout + limits.BodyTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			ConnState:         limited.ConnState,
+			ConnContext:       limited.ConnContext,
 		},
 	}
 	go l.serve(limited)
