Keep no list of other losses for a lost target without tasks

Cause, by a heap profile: 292 of 315 MB were in openLosses. With each loss of a target the leader keeps all losses that are not recorded yet, to weigh later what they say against the tasks of the lost target. A crowd of silent targets makes that list as long as itself, for each of its members.

Change: a loss without suspects keeps none, as there is nothing to weigh.

--- a/internal/push/suspect.go
+++ b/internal/push/suspect.go
@@ -82,10 +82,14 @@
 		Known:    c.known,
 		Fleet:    targets,
 		Observed: busy,
-		Open:     l.openLosses(c.target),
 
 		IsCleared: l.hasRunLonger,
 	}
+	// The other losses tell of the suspects only. Kept for each loss of an idle target, they
+	// take memory with the square of the number of silent targets.
+	if len(c.suspects) > 0 {
+		event.Open = l.openLosses(c.target)
+	}
 	for _, s := range c.suspects {
 		event.Suspects = append(event.Suspects, blame.Suspect[graph.TaskRef]{
 			Task:     s.task,
