Ignore heartbeats for a service that no configuration names

Change: the leader acknowledges and ignores such a heartbeat, unless an incarnation of the target that it knows has announced that service: a configuration may have removed it since. TestTargetOfUnknownServiceMayNotServe tests the question to the ledger, which is new.

--- a/internal/graph/config.go
+++ b/internal/graph/config.go
@@ -162,6 +162,7 @@
 	// hosts maps a lower-case host name to its queues, longest prefix first.
 	hosts          map[string][]*Queue
 	queues         map[string]*Queue
+	services       map[string]bool
 	clientAccounts map[string]*ClientAccount
 	keys           map[string]*ClientAccount
 }
@@ -171,6 +172,7 @@
 		config:         c,
 		hosts:          map[string][]*Queue{},
 		queues:         map[string]*Queue{},
+		services:       map[string]bool{},
 		clientAccounts: map[string]*ClientAccount{},
 		keys:           map[string]*ClientAccount{},
 	}
@@ -183,6 +185,9 @@
 		host := strings.ToLower(q.Host)
 		x.hosts[host] = append(x.hosts[host], q)
 	}
+	for _, service := range c.Services {
+		x.services[service.Name] = true
+	}
 	for _, queues := range x.hosts {
 		sort.SliceStable(queues, func(i, j int) bool {
 			return len(queues[i].Prefix) > len(queues[j].Prefix)
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -162,6 +162,24 @@
 	return older
 }
 
+// MayServe reports whether a target of the id can belong to the service: the configuration
+// names it, or a known incarnation of the target has announced it. Without a configuration
+// any target may.
+func (l *Ledger) MayServe(id, service string) bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.config == nil || l.config.services[service] {
+		return true
+	}
+	return slices.ContainsFunc(l.incarnations[id], func(incarnation int64) bool {
+		t := l.targets[TargetID{
+			ID:          id,
+			Incarnation: incarnation,
+		}]
+		return t != nil && t.Service == service
+	})
+}
+
 // RunOf returns the state of the task, and its latest run and that one's target. A task of
 // a completed job is done. A task of another job that is over counts as waiting.
 func (l *Ledger) RunOf(ref TaskRef) (state TaskState, target TargetID, run uint32) {
--- a/internal/graph/targets_test.go
+++ b/internal/graph/targets_test.go
@@ -35,3 +35,21 @@
 	c.Check(l.OlderIncarnations(newest), qt.HasLen, 0)
 	c.Check(l.incarnations, qt.HasLen, 2999)
 }
+
+// A heartbeat for a service that does not exist comes from another writer. It ended the
+// runs of the target whose id it carries.
+func TestTargetOfUnknownServiceMayNotServe(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	c.Check(l.MayServe("a", "other"), qt.IsTrue)
+	config := testConfig(1, 0)
+	l.Apply(Command{Config: config})
+	c.Check(l.MayServe("a", config.Services[0].Name), qt.IsTrue)
+	c.Check(l.MayServe("a", "other"), qt.IsFalse)
+	l.Apply(Command{Target: &Announcement{
+		ID:      TargetID{ID: "a"},
+		Service: "removed",
+	}})
+	c.Check(l.MayServe("a", "removed"), qt.IsTrue)
+	c.Check(l.MayServe("b", "removed"), qt.IsFalse)
+}
--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -197,11 +197,19 @@
 }
 
 // handleHeartbeat processes a heartbeat. It returns without a fault only after
-// any change that the heartbeat announces is committed. A target whose heartbeat
+// any change that the heartbeat announces is committed. One for a service that does not
+// exist comes from another writer and changes nothing. A target whose heartbeat
 // is not answered in time sends it again, so heartbeats that come while a change
 // of the target is being committed wait for that instead of proposing it again.
 func (l *leader) handleHeartbeat(ctx context.Context, h *Heartbeat) *wire.Fault {
 	id := h.Announce.ID
+	if !l.scheduler.ledger.MayServe(id.ID, h.Announce.Service) {
+		l.log.WithFields(logrus.Fields{
+			"target":  id.ID,
+			"service": h.Announce.Service,
+		}).Info("target: ignored a heartbeat for an unknown service")
+		return nil
+	}
 	if l.incarnationEnded(id) {
 		l.log.WithFields(logrus.Fields{
 			"target": id.ID,
