--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -23,7 +23,7 @@
 	// body of a request or reply.
 	maxFrameSize = 16 << 20
 	// bufferSize is the size in bytes of each of the buffers of a connection.
-	bufferSize = 64 << 10
+	bufferSize = 16 << 10
 	// growthFactor is how many times larger the buffer of a large frame gets each time.
 	growthFactor = 4
 )
