--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -24,8 +24,10 @@
 	maxFrameSize = 16 << 20
 	// bufferSize is the size in bytes of each of the buffers of a connection.
 	bufferSize = 16 << 10
-	// growthFactor is how many times larger the buffer of a large frame gets each time.
-	growthFactor = 4
+	// firstFrameBuffer is the size in bytes of the first buffer of a large frame, and
+	// growthFactor how many times larger the buffer gets each time.
+	firstFrameBuffer = 256 << 10
+	growthFactor     = 4
 )
 
 var (
@@ -138,7 +140,7 @@
 // readGrowing reads a frame of the size into a buffer that grows with what has arrived, so
 // that a sender which announces a large frame takes no memory before it sends it.
 func (f *framedConn) readGrowing(size int) ([]byte, error) {
-	data := make([]byte, 0, min(size, bufferSize))
+	data := make([]byte, 0, min(size, firstFrameBuffer))
 	for len(data) < size {
 		if len(data) == cap(data) {
 			larger := make([]byte, len(data), min(size, growthFactor*cap(data)))
--- a/internal/peer/limits_test.go
+++ b/internal/peer/limits_test.go
@@ -36,7 +36,7 @@
 // Frames of all sizes must arrive as they were sent.
 func TestFramesOfAllSizes(t *testing.T) {
 	c := qt.New(t)
-	for _, size := range []int{0, 1, bufferSize - 1, bufferSize, bufferSize + 1, 5*bufferSize + 7} {
+	for _, size := range []int{0, 1, bufferSize, firstFrameBuffer - 1, firstFrameBuffer, firstFrameBuffer + 1, 5*firstFrameBuffer + 7} {
 		data := make([]byte, size)
 		for i := range data {
 			data[i] = byte(i % 251)
