Let a stand-in worker go dark

Cause: a crash that is silent is among the users' disruptions. Change: workers of review/stand3 can be dark and start again.

--- a/review/stand3/pending.go
+++ b/review/stand3/pending.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// sickTime is how long the worker is unhealthy.
-	sickTime = 6500 * time.Millisecond
-	// waiting is the number of submissions that wait for it.
+	// darkTime is how long the worker is down.
+	darkTime = 4500 * time.Millisecond
+	// waiting is the number of submissions.
 	waiting = 6
 	// visibleTime is the time after which a submission has to be counted: visible_ms
 	// and two seconds.
 	visibleTime = 5 * time.Second
 )
 
-// pending lets a worker be unhealthy: it answers each start with 503 and has then done
-// nothing. Submissions that only it may run have not begun, and have to be counted as
-// pending.
+// pending lets the worker that gets the next work crash and be dark for a while, right
+// before submissions come. All others are sound and empty. Submissions that have not begun
+// have to be counted as pending.
 func pending(ctx context.Context, s *stage) error {
 	if err := s.open(ctx, 2, false); err != nil {
 		return err
@@ -27,34 +27,25 @@
 	if err := s.caller.configure(ctx, newConfig()); err != nil {
 		return err
 	}
-	if err := s.fleet.addSome(11, s.cell.subnet, 640*time.Millisecond); err != nil {
+	if err := s.fleet.addSome(12, s.cell.subnet, 640*time.Millisecond); err != nil {
 		return err
 	}
-	w, err := s.fleet.add("i-190", zones[0], s.cell.subnet+"190", []string{"b", "r1-9"}, 640*time.Millisecond)
-	if err != nil {
-		return err
-	}
-	if err := w.start(0); err != nil {
+	if err := s.fleet.awaitCalls(15 * time.Second); err != nil {
 		return err
 	}
-	if err := s.fleet.awaitCalls(15 * time.Second); err != nil {
+	w, err := s.favourite(ctx)
+	if err != nil {
 		return err
 	}
 	if s.trouble {
-		s.rec.add("trouble: worker %s is unhealthy for %s", w.id, sickTime)
-		s.fleet.setSick(w, true)
-		time.AfterFunc(sickTime, func() { s.fleet.setSick(w, false) })
+		s.rec.add("trouble: worker %s is dark for %s", w.id, darkTime)
+		w.darken()
+		time.AfterFunc(darkTime, func() { _ = w.restart() })
 	}
 	var ids []string
 	for range waiting {
 		id := newID()
-		if !s.caller.submit(ctx, id, submission("walk signup", map[string]any{
-			"count":          1,
-			"cpu":            1300,
-			"mem_mb":         1300,
-			"estimate_ms":    640,
-			"required_label": "b",
-		})) {
+		if !s.caller.submit(ctx, id, smallJob()) {
 			return errNotAccepted
 		}
 		ids = append(ids, id)
@@ -78,6 +69,30 @@
 	return nil
 }
 
+// smallJob returns the body of a submission with one short task.
+func smallJob() []byte {
+	return submission("walk signup", map[string]any{
+		"count":       1,
+		"cpu":         1300,
+		"mem_mb":      1300,
+		"estimate_ms": 640,
+	})
+}
+
+// favourite returns the worker that gets a task while all are empty.
+func (s *stage) favourite(ctx context.Context) (*worker, error) {
+	id := newID()
+	if !s.caller.submit(ctx, id, smallJob()) {
+		return nil, errNotAccepted
+	}
+	w, _ := s.fleet.awaitHolder(id, 5*time.Second)
+	if w == nil {
+		return nil, errNotAccepted
+	}
+	time.Sleep(2 * time.Second)
+	return w, nil
+}
+
 // pending returns how many submissions of the queue are given as pending.
 func (c *caller) pending(ctx context.Context) (int, error) {
 	var body struct {
@@ -87,9 +102,3 @@
 	err := json.Unmarshal([]byte(got.body), &body)
 	return body.Pending, err
 }
-
-func (f *fleet) setSick(w *worker, sick bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	w.sick = sick
-}
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -12,14 +12,8 @@
 	"time"
 )
 
-const (
-	// stopTime is how long a run takes to stop, which is less than stop_timeout_ms.
-	stopTime = 100 * time.Millisecond
-	// The first recordedRefusals refusals of a worker are recorded, and then each
-	// recordedInterval-th.
-	recordedRefusals = 50
-	recordedInterval = 500
-)
+// stopTime is how long a run takes to stop, which is less than stop_timeout_ms.
+const stopTime = 100 * time.Millisecond
 
 // run is a run of a task on a worker.
 type run struct {
@@ -71,9 +65,8 @@
 	// taskTime is how long a task runs; 0 is until it is stopped.
 	taskTime time.Duration
 
-	// sick workers refuse all starts; refused counts these.
-	sick    bool
-	refused int
+	// dark workers have crashed and answer nothing, as a machine without power.
+	dark bool
 
 	alive    bool
 	draining bool
@@ -166,8 +159,42 @@
 func (w *worker) crash() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	w.die()
+	w.disconnect()
+	w.fleet.rec.add("worker %s: crashes", w.id)
+}
+
+// darken ends the life as a loss of power does: nothing is answered any more, and
+// connections stay as they are.
+func (w *worker) darken() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.dark = true
+	w.die()
+	w.fleet.rec.add("worker %s: crashes and is dark", w.id)
+}
+
+// restart begins the next life of a dark worker.
+func (w *worker) restart() error {
+	w.fleet.mu.Lock()
+	w.dark = false
+	w.disconnect()
+	w.fleet.mu.Unlock()
+	return w.start(0)
+}
+
+// die ends all that runs. The fleet's lock must be held.
+func (w *worker) die() {
 	w.alive = false
 	w.cancel()
+	for task, r := range w.running {
+		w.fleet.rec.add("worker %s: run %d of %s is gone", w.id, r.number, task)
+	}
+	w.running, w.ended = map[string]*run{}, nil
+}
+
+// disconnect closes the port and resets all connections. The fleet's lock must be held.
+func (w *worker) disconnect() {
 	_ = w.listener.Close()
 	for conn := range w.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -175,11 +202,6 @@
 		}
 		_ = conn.Close()
 	}
-	for task, r := range w.running {
-		w.fleet.rec.add("worker %s: run %d of %s is gone", w.id, r.number, task)
-	}
-	w.running, w.ended = map[string]*run{}, nil
-	w.fleet.rec.add("worker %s: crashes", w.id)
 }
 
 func (w *worker) clock() int64 {
@@ -211,6 +233,10 @@
 		expected := r.Header.Get("X-Jasmineward-Expect-Instance")
 		status, body := http.StatusBadRequest, map[string]any{}
 		switch {
+		case w.dark:
+			w.fleet.mu.Unlock()
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
 		case !w.alive || w.born != born:
 			w.fleet.mu.Unlock()
 			panic(http.ErrAbortHandler)
@@ -267,11 +293,6 @@
 func (w *worker) runStart(_ *http.Request, o order) (int, map[string]any) {
 	current := w.running[o.Task]
 	switch {
-	case w.sick:
-		if w.refused++; w.refused <= recordedRefusals || w.refused%recordedInterval == 0 {
-			w.fleet.rec.add("worker %s: run %d of %s is refused with 503, refusal %d", w.id, o.Run, o.Task, w.refused)
-		}
-		return http.StatusServiceUnavailable, map[string]any{}
 	case current != nil && current.number == o.Run:
 		return http.StatusOK, map[string]any{}
 	case o.Run <= w.settled[o.Task]:
