Let stand-in workers be cut off, and gangs end together

Cause: a gang that ends behind a cut, and a report of another writer, need workers that are cut off and checks for two runs at once.

--- a/review/stand3/caller.go
+++ b/review/stand3/caller.go
@@ -15,6 +15,7 @@
 const (
 	host       = "nony24.example"
 	prefix     = "/lohu930/"
+	urgent     = "/pufi791/"
 	service    = "parkapp"
 	apiKey     = "6x73d3zji9n73hh2b9wu"
 	timeBudget = 3 * time.Second
@@ -62,12 +63,15 @@
 	cell *cell
 	rec  *record
 	http *http.Client
+	// prefix is that of the caller's queue.
+	prefix string
 }
 
 func newCaller(c *cell) *caller {
 	return &caller{
-		cell: c,
-		rec:  c.rec,
+		cell:   c,
+		rec:    c.rec,
+		prefix: prefix,
 		http: &http.Client{
 			Timeout: timeBudget,
 			Transport: &http.Transport{
@@ -79,9 +83,9 @@
 
 // do sends one call to an edge node and records it.
 func (c *caller) do(ctx context.Context, method string, edge *node, id string, body []byte) answer {
-	c.rec.add("client: %s %s%s to %s %s", method, prefix, id, edge.name, body)
-	got := call(ctx, c.http, method, "http://"+c.cell.frontendOf(edge)+prefix+id, host, body)
-	c.rec.add("client: %s %s%s to %s was answered %d %s", method, prefix, id, edge.name, got.status, got.body)
+	c.rec.add("client: %s %s%s to %s %s", method, c.prefix, id, edge.name, body)
+	got := call(ctx, c.http, method, "http://"+c.cell.frontendOf(edge)+c.prefix+id, host, body)
+	c.rec.add("client: %s %s%s to %s was answered %d %s", method, c.prefix, id, edge.name, got.status, got.body)
 	return got
 }
 
@@ -135,24 +139,30 @@
 	return errNotConfigured
 }
 
-// newConfig returns a configuration with one queue, as in PROTOCOL.md.
+// newRoute returns a queue, as in PROTOCOL.md.
+func newRoute(name, pathPrefix string, priority int) map[string]any {
+	return map[string]any{
+		"name":              name,
+		"host":              host,
+		"path_prefix":       pathPrefix,
+		"type":              "non_idempotent",
+		"timeout_ms":        3000,
+		"target_latency_ms": 2500,
+		"priority":          priority,
+		"service":           service,
+		"max_attempts":      3,
+		"stretch":           2.2,
+		"public":            false,
+	}
+}
+
+// newConfig returns a configuration with two queues, one of them for urgent work.
 func newConfig() map[string]any {
 	return map[string]any{
 		"version": 7,
 		"routes": []map[string]any{
-			{
-				"name":              "r-ihhacru",
-				"host":              host,
-				"path_prefix":       prefix,
-				"type":              "non_idempotent",
-				"timeout_ms":        3000,
-				"target_latency_ms": 2500,
-				"priority":          1,
-				"service":           service,
-				"max_attempts":      3,
-				"stretch":           2.2,
-				"public":            false,
-			},
+			newRoute("r-ihhacru", prefix, 1),
+			newRoute("r-nax7u27", urgent, 0),
 		},
 		"services": []map[string]any{
 			{
@@ -192,11 +202,11 @@
 	return fmt.Sprintf("%016x", rand.Uint64())
 }
 
-// submission returns the body of a submission with one step.
-func submission(spec string, step map[string]any) []byte {
+// submission returns the body of a submission with some steps.
+func submission(spec string, steps ...map[string]any) []byte {
 	body, _ := json.Marshal(map[string]any{
 		"spec":  spec,
-		"steps": []map[string]any{step},
+		"steps": steps,
 	})
 	return body
 }
--- a/review/stand3/cell.go
+++ b/review/stand3/cell.go
@@ -18,7 +18,6 @@
 	heartbeatMs = 1500
 	maxHoldMs   = 6000
 	stopMs      = 900
-	cancelTime  = 3 * time.Second
 	drainTime   = 2 * time.Second
 )
 
@@ -222,12 +221,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of a node.
-func (c *cell) signal(n *node, s syscall.Signal) {
-	c.rec.add("system: %s gets %s", n.name, s)
-	_ = n.cmd.Process.Signal(s)
-}
-
 // stop ends all processes and removes the folder, unless KEEP is set.
 func (c *cell) stop() {
 	for _, n := range c.nodes() {
--- a/review/stand3/earlier.go
+++ b/review/stand3/earlier.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// errNotAccepted is returned if a submission that has to be accepted is not.
-var errNotAccepted = errors.New("the submission was not accepted")
+// errNotAccepted is returned if a submission that has to be accepted is not, and
+// errNotNoted if the end that the case needs was not acknowledged.
+var (
+	errNotAccepted = errors.New("the submission was not accepted")
+	errNotNoted    = errors.New("no end done of the gang was acknowledged")
+)
 
 const (
 	// stepAhead is how far the time of day has jumped ahead on the worker's machine.
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -37,10 +37,10 @@
 // held, and another error if the case could not run.
 var cases = map[string]func(context.Context, *stage) error{
 	"given-up":      givenUp,
+	"late-gang":     lateGang,
+	"foreign":       foreignReport,
 	"earlier-start": earlierStart,
-	"late-submit":   lateSubmit,
 	"stale-starts":  staleStarts,
-	"pending":       pending,
 }
 
 func main() {
@@ -113,6 +113,9 @@
 	s.fleet = &fleet{
 		rec:     s.rec,
 		control: c.controlAddresses(),
+
+		taskTimes:    map[string]time.Duration{},
+		acknowledged: map[string]time.Time{},
 	}
 	s.caller = newCaller(c)
 	return c.start(ctx)
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +50,12 @@
 	starts  []begun
 	// failed counts the runs that ended failed.
 	failed int
+	// taskTimes has how long the tasks of a submission take, by its spec.
+	taskTimes map[string]time.Duration
+	// twice has the starts of tasks that were at work on another worker.
+	twice []string
+	// acknowledged has when the end done of a task was acknowledged.
+	acknowledged map[string]time.Time
 }
 
 // worker is one life of a worker, and the next ones at its address. The fleet's lock
@@ -65,8 +72,8 @@
 	// taskTime is how long a task runs; 0 is until it is stopped.
 	taskTime time.Duration
 
-	// dark workers have crashed and answer nothing, as a machine without power.
-	dark bool
+	// healed is closed when the worker is no longer cut off; it is nil without a cut.
+	healed chan struct{}
 
 	alive    bool
 	draining bool
@@ -140,6 +147,7 @@
 		ConnState:         w.track,
 	}
 	go func() { _ = server.Serve(listener) }()
+	go w.work(ctx)
 	go w.beat(ctx)
 	return nil
 }
@@ -159,42 +167,12 @@
 func (w *worker) crash() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	w.die()
-	w.disconnect()
-	w.fleet.rec.add("worker %s: crashes", w.id)
-}
-
-// darken ends the life as a loss of power does: nothing is answered any more, and
-// connections stay as they are.
-func (w *worker) darken() {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	w.dark = true
-	w.die()
-	w.fleet.rec.add("worker %s: crashes and is dark", w.id)
-}
-
-// restart begins the next life of a dark worker.
-func (w *worker) restart() error {
-	w.fleet.mu.Lock()
-	w.dark = false
-	w.disconnect()
-	w.fleet.mu.Unlock()
-	return w.start(0)
-}
-
-// die ends all that runs. The fleet's lock must be held.
-func (w *worker) die() {
 	w.alive = false
 	w.cancel()
 	for task, r := range w.running {
 		w.fleet.rec.add("worker %s: run %d of %s is gone", w.id, r.number, task)
 	}
 	w.running, w.ended = map[string]*run{}, nil
-}
-
-// disconnect closes the port and resets all connections. The fleet's lock must be held.
-func (w *worker) disconnect() {
 	_ = w.listener.Close()
 	for conn := range w.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
@@ -202,6 +180,7 @@
 		}
 		_ = conn.Close()
 	}
+	w.fleet.rec.add("worker %s: crashes", w.id)
 }
 
 func (w *worker) clock() int64 {
@@ -230,13 +209,10 @@
 			err = json.Unmarshal(data, &o)
 		}
 		w.fleet.mu.Lock()
+		w.passCut(r)
 		expected := r.Header.Get("X-Jasmineward-Expect-Instance")
 		status, body := http.StatusBadRequest, map[string]any{}
 		switch {
-		case w.dark:
-			w.fleet.mu.Unlock()
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
 		case !w.alive || w.born != born:
 			w.fleet.mu.Unlock()
 			panic(http.ErrAbortHandler)
@@ -249,6 +225,7 @@
 			w.calls++
 			w.advance()
 			status, body = carryOut(r, o)
+			w.passCut(r)
 		}
 		body["clock_ms"], body["born"] = w.clock(), w.born
 		w.fleet.mu.Unlock()
@@ -259,6 +236,37 @@
 	}
 }
 
+// passCut waits while the worker is cut off, as what is on its way then waits. A call that
+// its sender resets meanwhile is lost. The fleet's lock must be held.
+func (w *worker) passCut(r *http.Request) {
+	for w.healed != nil {
+		healed := w.healed
+		w.fleet.mu.Unlock()
+		select {
+		case <-healed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		w.fleet.mu.Lock()
+	}
+}
+
+// cut cuts the worker off from all machines of the system, silently, for some time.
+func (w *worker) cut(length time.Duration) {
+	healed := make(chan struct{})
+	w.fleet.mu.Lock()
+	w.healed = healed
+	w.fleet.mu.Unlock()
+	w.fleet.rec.add("worker %s: is cut off", w.id)
+	time.AfterFunc(length, func() {
+		w.fleet.mu.Lock()
+		w.healed = nil
+		w.fleet.mu.Unlock()
+		close(healed)
+		w.fleet.rec.add("worker %s: is no longer cut off", w.id)
+	})
+}
+
 // advance ends the runs that are due.
 func (w *worker) advance() {
 	now := time.Now()
@@ -305,10 +313,9 @@
 		number: o.Run,
 		begun:  time.Now(),
 	}
-	if w.taskTime > 0 {
-		r.endsAt = r.begun.Add(w.taskTime)
-	}
+	w.checkTwice(o)
 	w.running[o.Task] = r
+	w.setEnd(o, r)
 	w.fleet.starts = append(w.fleet.starts, begun{
 		worker: w.id,
 		task:   o.Task,
@@ -324,6 +331,39 @@
 	return http.StatusOK, map[string]any{}
 }
 
+// checkTwice records a start of a task that is at work on another worker that is up.
+func (w *worker) checkTwice(o order) {
+	for _, other := range w.fleet.workers {
+		if other == w || !other.alive {
+			continue
+		}
+		other.advance()
+		if r := other.running[o.Task]; r != nil {
+			text := fmt.Sprintf("run %d of %s on %s beside run %d on %s", o.Run, o.Task, w.id, r.number, other.id)
+			w.fleet.twice = append(w.fleet.twice, text)
+			w.fleet.rec.add("worker %s: at once, %s", w.id, text)
+		}
+	}
+}
+
+// setEnd sets when the run ends by itself. The members of a gang end together.
+func (w *worker) setEnd(o order, r *run) {
+	taskTime, known := w.fleet.taskTimes[o.Spec]
+	if !known {
+		taskTime = w.taskTime
+	}
+	if taskTime == 0 {
+		return
+	}
+	r.endsAt = r.begun.Add(taskTime)
+	step := o.Task[:strings.LastIndexByte(o.Task, '.')+1]
+	for task, other := range w.running {
+		if known && strings.HasPrefix(task, step) {
+			other.endsAt = r.endsAt
+		}
+	}
+}
+
 func (w *worker) runStop(_ *http.Request, o order) (int, map[string]any) {
 	w.settled[o.Task] = max(w.settled[o.Task], o.Run)
 	if r := w.running[o.Task]; r != nil && r.number <= o.Run && r.stopsAt.IsZero() {
@@ -342,7 +382,12 @@
 		w.deadline = max(w.deadline, min(o.DeadlineMs, w.clock()+maxHoldMs))
 	}
 	for len(w.ended) > 0 && w.ended[0].seq <= o.AckedSeq {
+		e := w.ended[0]
 		w.ended = w.ended[1:]
+		if e.outcome == "done" {
+			w.fleet.acknowledged[e.task] = time.Now()
+		}
+		w.fleet.rec.add("worker %s: the end %s of run %d of %s is acknowledged", w.id, e.outcome, e.number, e.task)
 	}
 	born := w.born
 	until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
@@ -372,6 +417,18 @@
 	return int(100 * time.Since(r.begun) / r.endsAt.Sub(r.begun))
 }
 
+// work lets the tasks of one life end in time.
+func (w *worker) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.fleet.mu.Lock()
+		if ctx.Err() == nil {
+			w.advance()
+		}
+		w.fleet.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // beat sends the status reports of one life.
 func (w *worker) beat(ctx context.Context) {
 	client := &http.Client{
@@ -396,6 +453,11 @@
 // report sends one status report and reports whether it was acknowledged.
 func (w *worker) report(ctx context.Context, client *http.Client, address string) bool {
 	w.fleet.mu.Lock()
+	if w.healed != nil {
+		w.fleet.mu.Unlock()
+		time.Sleep(time.Second)
+		return false
+	}
 	w.beats++
 	seq, state := w.beats, "ready"
 	if w.draining {
