Let stand-in workers deregister, and refuse connections

Cause: a worker that leaves while the way to it is cut needs a connection that it keeps open, and a port that refuses others. Change: review/stand3 has both, with the case refused-leave.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -37,6 +37,7 @@
 // held, and another error if the case could not run.
 var cases = map[string]func(context.Context, *stage) error{
 	"given-up":      givenUp,
+	"refused-leave": refusedLeave,
 	"late-gang":     lateGang,
 	"foreign":       foreignReport,
 	"earlier-start": earlierStart,
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -74,6 +74,8 @@
 
 	// healed is closed when the worker is no longer cut off; it is nil without a cut.
 	healed chan struct{}
+	// oneWay is set if a cut lets what the worker sends through.
+	oneWay bool
 
 	alive    bool
 	draining bool
@@ -225,7 +227,9 @@
 			w.calls++
 			w.advance()
 			status, body = carryOut(r, o)
-			w.passCut(r)
+			if !w.oneWay {
+				w.passCut(r)
+			}
 		}
 		body["clock_ms"], body["born"] = w.clock(), w.born
 		w.fleet.mu.Unlock()
@@ -251,6 +255,16 @@
 	}
 }
 
+// refuse cuts the way from all machines of the system to the worker: what is sent on open
+// connections waits, and new ones are refused. What the worker sends arrives.
+func (w *worker) refuse(length time.Duration) {
+	w.fleet.mu.Lock()
+	w.oneWay = true
+	_ = w.listener.Close()
+	w.fleet.mu.Unlock()
+	w.cut(length)
+}
+
 // cut cuts the worker off from all machines of the system, silently, for some time.
 func (w *worker) cut(length time.Duration) {
 	healed := make(chan struct{})
@@ -450,20 +464,14 @@
 	}
 }
 
-// report sends one status report and reports whether it was acknowledged.
-func (w *worker) report(ctx context.Context, client *http.Client, address string) bool {
-	w.fleet.mu.Lock()
-	if w.healed != nil {
-		w.fleet.mu.Unlock()
-		time.Sleep(time.Second)
-		return false
-	}
+// message returns the next status report. The fleet's lock must be held.
+func (w *worker) message() map[string]any {
 	w.beats++
-	seq, state := w.beats, "ready"
+	state := "ready"
 	if w.draining {
 		state = "draining"
 	}
-	body, _ := json.Marshal(map[string]any{
+	return map[string]any{
 		"service":           service,
 		"address":           w.address,
 		"zone":              w.zone,
@@ -475,11 +483,23 @@
 		"labels":            w.labels,
 		"clock_ms":          w.clock(),
 		"born":              w.born,
-		"seq":               seq,
-	})
+		"seq":               w.beats,
+	}
+}
+
+// report sends one status report and reports whether it was acknowledged.
+func (w *worker) report(ctx context.Context, client *http.Client, address string) bool {
+	w.fleet.mu.Lock()
+	if w.healed != nil {
+		w.fleet.mu.Unlock()
+		time.Sleep(time.Second)
+		return false
+	}
+	message := w.message()
+	body, _ := json.Marshal(message)
 	w.fleet.mu.Unlock()
 	got := call(ctx, client, http.MethodPost, "http://"+address+"/jasmineward/instances/"+w.id+"/heartbeat", "", body)
-	w.fleet.rec.add("worker %s: report %d, %s, to %s was answered %d", w.id, seq, state, address, got.status)
+	w.fleet.rec.add("worker %s: report %d, %s, to %s was answered %d", w.id, message["seq"], message["state"], address, got.status)
 	return got.status/100 == 2
 }
 
