--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it does the same without the disruption. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/jasmined ] && [ -x target/review-3/stand3 ] || exit 2
-exec target/review-3/stand3 given-up review/12
+exec target/review-3/stand3 refused-leave review/12
