--- a/internal/graph/assignment.go
+++ b/internal/graph/assignment.go
@@ -16,6 +16,8 @@
 	// NeedsAdvice is set if a start of the run needs a ticket.
 	NeedsAdvice bool
 	BestEffort  bool
+	// Checkpoints is set if the work of a run that is stopped is kept.
+	Checkpoints bool
 	Latency     Millis
 	LongRunning bool
 	// Estimate is the client's estimate of the task's duration.
@@ -160,6 +162,7 @@
 	assignment.Queue = job.Queue
 	assignment.NeedsAdvice = l.needsAdvice(job)
 	assignment.BestEffort = step.BestEffort
+	assignment.Checkpoints = step.Checkpoints
 	assignment.Latency = step.Latency
 	assignment.LongRunning = step.LongRunning
 	assignment.Crashes = l.suspects[ref]
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -74,10 +74,10 @@
 	// retired is true once another incarnation of the target is known to run, or the
 	// target has left: it gets no start and no longer lease.
 	retired bool
-	// left is true once the target has said that it ends, and ending while the end is
-	// being committed.
+	// leavesAt is when a target that leaves ends at the earliest, or zero if it has not said.
+	leavesAt time.Time
+	// left is true once the target has said that it ends.
 	left           bool
-	ending         bool
 	paceController pace.Controller
 	// usableUntil is a time.Duration since the leader's start, by the monotonic
 	// clock.
@@ -214,12 +214,13 @@
 		return 0
 	}
 	// The target's clock is at least the lower bound now, so even a slow clock
-	// reaches the deadline within the TTL plus drift.
-	until := d.leader.latestLeaseExpiry(now)
+	// reaches the deadline within the lease's length plus drift.
+	length := d.leaseLength(now)
+	until := d.leader.leaseExpiry(now, length)
 	if until.After(d.leaseExpiry) {
 		d.leaseExpiry = until
 	}
-	return clock + Clock(d.leader.scheduler.timing.TTL)
+	return clock + Clock(length)
 }
 
 // usable reports whether new work may be sent to the target. A decision checks
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -70,10 +70,19 @@
 }
 
 // endIncarnations commits that the incarnations and all older ones of their targets
-// have ended, with all their runs, and removes their drivers. A crash is the end of a
-// process that has not announced that it leaves.
-func (l *leader) endIncarnations(why string, crashed bool, ids ...graph.TargetID) *wire.Fault {
+// have ended, with all their runs, and removes their drivers. It returns a fault, and
+// commits nothing, if the observation does not prove that. A crash is the end of a process
+// that has not announced that it leaves.
+func (l *leader) endIncarnations(proof observation, crashed bool, ids ...graph.TargetID) *wire.Fault {
 	lost := l.runsOn(ids)
+	if proof.consequence() != consequenceEnd || proof == observedNoRuns && len(lost) > 0 {
+		l.log.WithFields(logrus.Fields{
+			"targets": len(ids),
+			"why":     proof.String(),
+			"runs":    len(lost),
+		}).Error("target: no proof that the lifetime is over")
+		return wire.NewFault(wire.CodeInternal, "no proof that the lifetime is over")
+	}
 	ended := &graph.EndIncarnations{}
 	var crashes []crash
 	if crashed {
@@ -90,7 +99,7 @@
 	if fault != nil {
 		l.log.WithFields(logrus.Fields{
 			"targets": len(ids),
-			"why":     why,
+			"why":     proof.String(),
 			"fault":   fault.Error(),
 		}).Warn("target: end of lifetime not committed")
 		return fault
@@ -101,7 +110,7 @@
 		l.log.WithFields(logrus.Fields{
 			"target": id.ID,
 			"born":   id.Incarnation,
-			"why":    why,
+			"why":    proof.String(),
 			"runs":   strings.Join(lost[id], " "),
 		}).Info("target: lifetime over")
 		l.removeDriver(id)
--- a/internal/push/fixture_test.go
+++ b/internal/push/fixture_test.go
@@ -52,6 +52,8 @@
 	clockBehind Clock
 	// down is true after a crash: nothing listens at the target's address.
 	down bool
+	// refuses is true while the link to the target is cut and refuses connections.
+	refuses bool
 	// silentFromStart makes the target fall silent at the next start, before it takes
 	// it.
 	silentFromStart bool
@@ -89,6 +91,8 @@
 	ticketByTarget map[string]string
 	// adviceValid is how long tickets are valid.
 	adviceValid time.Duration
+	// startTime is how long a start takes to reach its target.
+	startTime time.Duration
 	// stopTime is how long a stop takes to be answered. stopsInFlight counts the
 	// stops that are not answered yet, and maxStopsInFlight is their maximum.
 	stopTime         time.Duration
@@ -150,16 +154,20 @@
 // lockTarget returns the target, or an error if the target does not answer or
 // rejects the token. It returns with the mutex held in either case. Whichever
 // incarnation of the target runs carries out the order, as orders name only the id.
+// The address of a target is its id.
 func (f *fakeFleet) lockTarget(ctx context.Context, t *graph.Target, token uint64) (*fakeTarget, error) {
 	f.mu.Lock()
-	target := f.targets[t.ID.ID]
+	target := f.targets[t.Address]
+	if target != nil && t.Address != t.ID.ID {
+		return nil, ErrOtherTarget
+	}
 	if target == nil || target.silent {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return nil, ErrNoAnswer
 	}
-	if target.down {
+	if target.down || target.refuses {
 		return nil, ErrDown
 	}
 	for _, other := range f.targets {
@@ -173,6 +181,10 @@
 }
 
 func (f *fakeFleet) Start(ctx context.Context, t *graph.Target, order Start) (Clock, error) {
+	f.mu.Lock()
+	startTime := f.startTime
+	f.mu.Unlock()
+	time.Sleep(startTime)
 	target, err := f.lockTarget(ctx, t, order.Token)
 	defer f.mu.Unlock()
 	if err != nil {
--- a/internal/push/handover_test.go
+++ b/internal/push/handover_test.go
@@ -80,7 +80,8 @@
 		return known
 	})
 	l := newLeader(s.scheduler, s.scheduler.currentLeader.Load().term+1)
-	s.c.Check(l.currentIncarnation("w0"), qt.Equals, int64(2))
+	current, _ := l.currentIncarnation("w0")
+	s.c.Check(current, qt.Equals, int64(2))
 	s.c.Check(l.incarnationEnded(graph.TargetID{
 		ID:          "w0",
 		Incarnation: 1,
--- a/internal/push/innocent_test.go
+++ b/internal/push/innocent_test.go
@@ -142,7 +142,7 @@
 		Incarnation: 2,
 	}
 	for range innocentCrashes {
-		s.c.Assert(l.replaceOlder("newer lifetime announced", next) == nil, qt.IsTrue)
+		s.c.Assert(l.replaceOlder(next) == nil, qt.IsTrue)
 		s.c.Check(s.state("a"), qt.Equals, graph.StateRunning)
 		l.mu.Lock()
 		clear(l.replaced)
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -97,17 +97,18 @@
 	// uncertainPlacements counts the placements whose commit is uncertain, by target.
 	uncertainPlacements map[graph.TargetID]int
 	drivers             map[graph.TargetID]*driver
-	// announcing has the incarnations whose announcement is being committed.
-	announcing map[graph.TargetID]chan struct{}
-	// newestIncarnation is the newest known incarnation by target id, and
-	// endedIncarnations is the set of incarnations that have left.
-	newestIncarnation map[string]int64
-	heartbeatOrders   map[graph.TargetID]*heartbeatOrder
-	endedIncarnations map[graph.TargetID]bool
+	// currentIncarnations has the incarnation of each target that is known to have its
+	// address, and leftIncarnations those that have said that they leave.
+	currentIncarnations map[string]int64
+	leftIncarnations    map[graph.TargetID]bool
+	heartbeatOrders     map[graph.TargetID]*heartbeatOrder
 	// replaced is the set of incarnations of which it is committed, or being
 	// committed, that a later one of the target has replaced them.
 	replaced map[graph.TargetID]bool
 
+	// announcing has the incarnations whose announcement is being committed.
+	announcing *flights[graph.TargetID]
+
 	// configuring is a semaphore that is held while a configuration is being committed.
 	configuring chan struct{}
 	// evacuating is a semaphore that is held while an evacuation or its withdrawal is
@@ -148,20 +149,21 @@
 		losses:       blame.NewMonitor[string, graph.TargetID, graph.TaskRef](time.Now()),
 		startLatency: delay.NewEstimator(minStartTimeout, s.timing.CallTimeout),
 
-		drivers:           map[graph.TargetID]*driver{},
-		announcing:        map[graph.TargetID]chan struct{}{},
-		newestIncarnation: map[string]int64{},
-		heartbeatOrders:   map[graph.TargetID]*heartbeatOrder{},
-		endedIncarnations: map[graph.TargetID]bool{},
-		configuring:       make(chan struct{}, 1),
-		evacuating:        make(chan struct{}, 1),
-		replaced:          map[graph.TargetID]bool{},
-		ctx:               ctx,
-		cancel:            cancel,
+		drivers:         map[graph.TargetID]*driver{},
+		heartbeatOrders: map[graph.TargetID]*heartbeatOrder{},
+		announcing:      newFlights[graph.TargetID](),
+		configuring:     make(chan struct{}, 1),
+		evacuating:      make(chan struct{}, 1),
+		replaced:        map[graph.TargetID]bool{},
+		ctx:             ctx,
+		cancel:          cancel,
+
+		currentIncarnations: map[string]int64{},
+		leftIncarnations:    map[graph.TargetID]bool{},
 	}
 	// Heartbeats may arrive as soon as the leader is known.
 	for _, t := range s.ledger.Targets() {
-		l.newestIncarnation[t.ID.ID] = max(l.newestIncarnation[t.ID.ID], t.ID.Incarnation)
+		l.currentIncarnations[t.ID.ID] = max(l.currentIncarnations[t.ID.ID], t.ID.Incarnation)
 	}
 	l.admissions.restore(s.ledger.AdmissionsSince(graph.Millis(l.started.Add(-admissionHistory).UnixMilli())))
 	l.advice = newAdviceClient(l)
@@ -185,7 +187,8 @@
 		for _, t := range targets {
 			// The target may have left or been replaced during the checks.
 			_, known := l.scheduler.ledger.Target(t.ID)
-			if known && t.ID.Incarnation == l.currentIncarnation(t.ID.ID) {
+			current, _ := l.currentIncarnation(t.ID.ID)
+			if known && t.ID.Incarnation == current {
 				l.ensureDriver(t)
 			}
 		}
--- a/internal/push/leave.go
+++ b/internal/push/leave.go
@@ -1,35 +1,50 @@
 package push
 
 import (
-	"github.com/go-faster/errors"
+	"context"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/jasmineward/jasmineward/internal/graph"
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
-// A target that says that it leaves ends once it has the answer, or some time later if
-// the answer is lost. Until then its runs go on. They are over only when the target lists
-// them as ended, when no process listens at its address any more, or with its lease.
+// A target that says that it leaves ends once that is confirmed, or some time later if the
+// confirmation is lost. Until then its runs go on. They are over when the target lists them
+// as ended, or with its lease. So they are stopped, and the target is told that it may end
+// only after it has listed their ends: then nobody has to wait for its lease.
+
+// maxLeaveWait is the longest time that a target which leaves waits for its confirmation
+// while its runs end. It is below the timeout of the target's call.
+const maxLeaveWait = 700 * time.Millisecond
 
-// handleLeave processes the message with which a target leaves. Incarnation zero stands
-// for the newest known one. Such a message may be from an older process of the target, so
-// it counts only if the target has announced that it leaves.
-func (l *leader) handleLeave(id graph.TargetID) *wire.Fault {
+// handleLeave processes the message with which a target leaves. It returns a fault, after
+// which the target asks again, if its runs are not over in time. Incarnation zero stands
+// for the current one. Such a message may be from an older process of the target, so it
+// counts only if the target has announced that it leaves.
+func (l *leader) handleLeave(ctx context.Context, id graph.TargetID) *wire.Fault {
 	named := id.Incarnation != 0
+	current, found := l.currentIncarnation(id.ID)
 	if !named {
-		id.Incarnation = l.currentIncarnation(id.ID)
+		id.Incarnation = current
 	}
 	target, known := l.scheduler.ledger.Target(id)
-	if known && !named && !target.Leaving {
-		l.log.WithFields(logrus.Fields{
-			"target": id.ID,
-			"born":   id.Incarnation,
-		}).Warn("target: ignored that it leaves, which it had not announced")
+	ignored := l.log.WithFields(logrus.Fields{
+		"target": id.ID,
+		"born":   id.Incarnation,
+	})
+	switch {
+	case known && !named && !target.Leaving:
+		ignored.Warn("target: ignored that it leaves, which it had not announced")
+		return nil
+	case found && id.Incarnation != current:
+		// Its runs may go on in the process that has the address now.
+		ignored.Info("target: ignored that it leaves, another lifetime has its address")
 		return nil
 	}
 	l.mu.Lock()
-	l.endedIncarnations[id] = true
+	l.leftIncarnations[id] = true
 	l.mu.Unlock()
 	if !known {
 		return nil
@@ -44,12 +59,14 @@
 		"runs":   runs,
 	}).Info("target: leaves")
 	if runs == 0 {
-		return l.endIncarnations("target left", false, id)
+		return l.endIncarnations(observedNoRuns, false, id)
 	}
-	if d := l.ensureDriver(target); d != nil {
-		d.leave()
+	d := l.ensureDriver(target)
+	if d == nil {
+		return wire.NewFault(wire.CodeNotLeader, "")
 	}
-	return nil
+	d.leave()
+	return d.awaitEnd(ctx, maxLeaveWait)
 }
 
 // commitLeaving commits that the target leaves, so that no leader places work on it.
@@ -70,8 +87,8 @@
 	return known && target.Leaving
 }
 
-// leave stops the runs of a target that leaves. They end with it in any case, but a
-// target that gets no answer would go on with them for a while.
+// leave stops the runs of a target that leaves. They end with it in any case, but only a
+// run that it lists as ended is known to be over.
 func (d *driver) leave() {
 	d.mu.Lock()
 	d.left = true
@@ -84,6 +101,26 @@
 	d.wakeUp()
 }
 
+// awaitEnd waits until the incarnation of a target that leaves is over. It returns a fault
+// if that takes longer than the given time.
+func (d *driver) awaitEnd(ctx context.Context, limit time.Duration) *wire.Fault {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	waitFor(ctx, d.ctx.Done())
+	ledger := d.leader.scheduler.ledger
+	if _, known := ledger.Target(d.target.ID); !known {
+		return nil
+	}
+	if d.leader.ctx.Err() != nil {
+		return wire.NewFault(wire.CodeNotLeader, "")
+	}
+	d.log.WithFields(logrus.Fields{
+		"born": d.target.ID.Incarnation,
+		"runs": ledger.RunCount(d.target.ID),
+	}).Info("target: leave not confirmed, runs are not over")
+	return wire.NewFault(wire.CodeBusy, "runs of the target are not over")
+}
+
 // endIfLeft ends the incarnation of a target that has left if none of its runs is active
 // any more, and reports whether it has done so. The ends are acknowledged first, as long
 // as the target answers.
@@ -92,34 +129,5 @@
 	d.mu.Lock()
 	over := d.left && runs == 0 && (d.failures > 0 || d.ackedSeq == d.committedSeq)
 	d.mu.Unlock()
-	return over && d.endLeft()
-}
-
-// endIfGone ends the incarnation of a target that has left if the error of an order says
-// that no process listens at its address any more. It reports whether it has done so.
-func (d *driver) endIfGone(err error) bool {
-	if !errors.Is(err, ErrDown) || !d.leader.canSendOrders() {
-		return false
-	}
-	d.mu.Lock()
-	left := d.left
-	d.mu.Unlock()
-	return left && d.endLeft()
-}
-
-// endLeft ends the incarnation of a target that has left. It returns false if that is not
-// committed, or if another call is committing it: several orders may fail at once.
-func (d *driver) endLeft() bool {
-	d.mu.Lock()
-	ending := d.ending
-	d.ending = true
-	d.mu.Unlock()
-	if ending {
-		return false
-	}
-	fault := d.leader.endIncarnations("target left", false, d.target.ID)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.ending = false
-	return fault == nil
+	return over && d.leader.endIncarnations(observedNoRuns, false, d.target.ID) == nil
 }
--- a/internal/push/model_fleet_test.go
+++ b/internal/push/model_fleet_test.go
@@ -76,17 +76,20 @@
 	leaving bool
 	// confirmed is when it was first confirmed that the target leaves.
 	confirmed time.Time
+	// leavesAt is when a target that leaves ends, or zero if it does not say.
+	leavesAt time.Time
 	// deaf targets get no order, and the answers and heartbeats of mute ones get lost.
-	deaf, mute bool
-	born       int64
-	started    time.Time
-	clockStart Clock
-	token      uint64
-	deadline   Clock
-	seq, beats uint64
-	running    map[graph.TaskRef]*modelRun
-	highest    map[graph.TaskRef]uint32
-	ended      []modelEnd
+	// Connections to those that refuse are refused though they run.
+	deaf, mute, refuses bool
+	born                int64
+	started             time.Time
+	clockStart          Clock
+	token               uint64
+	deadline            Clock
+	seq, beats          uint64
+	running             map[graph.TaskRef]*modelRun
+	highest             map[graph.TaskRef]uint32
+	ended               []modelEnd
 }
 
 type modelRun struct {
@@ -115,6 +118,7 @@
 	t.up = true
 	t.leaving = false
 	t.confirmed = time.Time{}
+	t.leavesAt = time.Time{}
 	t.started = time.Now()
 	t.born = t.started.UnixMilli()
 	t.clockStart = Clock(time.Second)
@@ -223,8 +227,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	target := f.target(t.ID.ID)
-	if !target.up && !target.deaf {
+	target := f.target(t.Address)
+	if target.up && !target.deaf && t.Address != t.ID.ID {
+		return 0, ErrOtherTarget
+	}
+	if !target.deaf && (!target.up || target.refuses) {
 		return 0, ErrDown
 	}
 	if !target.up || target.deaf {
--- a/internal/push/model_test.go
+++ b/internal/push/model_test.go
@@ -328,24 +328,7 @@
 		m.fleet.advance()
 		send := t.up && !t.mute && !t.deaf
 		t.beats++
-		heartbeat := &Heartbeat{
-			Announce: graph.Announcement{
-				ID: graph.TargetID{
-					ID:          t.id,
-					Incarnation: t.born,
-				},
-				Service: "s",
-				Address: t.id,
-				Domain:  t.domain,
-				Capacity: quota.Resources{
-					CPU:    modelCPU,
-					Memory: modelCPU,
-				},
-				Leaving: t.leaving,
-				Seq:     t.beats,
-			},
-			Clock: t.clock(),
-		}
+		heartbeat := t.heartbeat()
 		late := m.fleet.random.Float64() < 0.03
 		m.fleet.mu.Unlock()
 		if send && late {
@@ -363,6 +346,32 @@
 	}
 }
 
+// heartbeat returns the target's heartbeat. The lock must be held.
+func (t *modelTarget) heartbeat() *Heartbeat {
+	heartbeat := &Heartbeat{
+		Announce: graph.Announcement{
+			ID: graph.TargetID{
+				ID:          t.id,
+				Incarnation: t.born,
+			},
+			Service: "s",
+			Address: t.id,
+			Domain:  t.domain,
+			Capacity: quota.Resources{
+				CPU:    modelCPU,
+				Memory: modelCPU,
+			},
+			Leaving: t.leaving,
+			Seq:     t.beats,
+		},
+		Clock: t.clock(),
+	}
+	if !t.leavesAt.IsZero() {
+		heartbeat.Remaining = time.Until(t.leavesAt)
+	}
+	return heartbeat
+}
+
 // confirm records that the life of the target knows that its leaving is known.
 func (t *modelTarget) confirm(born int64) {
 	if t.born == born && t.confirmed.IsZero() {
@@ -546,8 +555,7 @@
 		id.Incarnation = t.born
 	})
 	m.pause(2 * modelHeartbeat)
-	var reply wire.Reply[Empty]
-	_ = m.service().Leave(&id, &reply)
+	m.leaveOnce(id)
 	m.pause(100 * time.Millisecond)
 	if handOver {
 		m.cell.changeLeader(20 * time.Millisecond)
@@ -566,6 +574,13 @@
 	})
 }
 
+// leaveOnce has the incarnation say that it leaves, and reports whether that is confirmed.
+func (m *model) leaveOnce(id graph.TargetID) bool {
+	var reply wire.Reply[Empty]
+	_ = m.service().Leave(&id, &reply)
+	return reply.Fault == nil
+}
+
 // set changes the fleet.
 func (m *model) set(change func()) {
 	m.fleet.mu.Lock()
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -361,9 +361,6 @@
 		d.leader.fence()
 		return
 	}
-	if d.endIfGone(err) {
-		return
-	}
 	if err != nil {
 		d.log.WithError(err).WithField("task", key.task.Name()).Warn("target: stop not taken")
 		return
--- a/internal/push/push_test.go
+++ b/internal/push/push_test.go
@@ -180,7 +180,7 @@
 		},
 		Clock: Clock(time.Second),
 	}
-	done, first := l.claimAnnouncement(heartbeat.Announce.ID)
+	done, first := l.announcing.claim(heartbeat.Announce.ID)
 	s.c.Assert(first, qt.IsTrue)
 	s.c.Assert(done, qt.IsNil)
 	var waiting sync.WaitGroup
@@ -194,7 +194,7 @@
 	s.c.Check(known, qt.IsFalse)
 	before := s.scheduler.host.Replica().Status().Commit
 	s.c.Assert(l.announce(s.ctx(), heartbeat) == nil, qt.IsTrue)
-	l.releaseAnnouncement(heartbeat.Announce.ID)
+	l.announcing.release(heartbeat.Announce.ID)
 	waiting.Wait()
 	s.c.Check(s.scheduler.host.Replica().Status().Commit-before, qt.Equals, uint64(1))
 }
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -15,9 +15,6 @@
 	renewalTimeoutMargin = 300 * time.Millisecond
 	// renewalRetryDelay is the pause after a failed renewal.
 	renewalRetryDelay = 60 * time.Millisecond
-	// leftRetryDelay is the pause after a failed renewal of a target that has left. Its
-	// address refuses connections only until its machine is gone as well.
-	leftRetryDelay = 5 * time.Millisecond
 	// idleInterval is how often a target without runs is checked.
 	idleInterval = 10 * time.Second
 	// maxListedEnds is the maximum number of ends in one listing of a target.
@@ -61,22 +58,12 @@
 		if d.handleRenewalFailure(err) {
 			return
 		}
-		if !group.SleepContext(d.ctx, d.retryDelay()) {
+		if !group.SleepContext(d.ctx, renewalRetryDelay) {
 			return
 		}
 	}
 }
 
-// retryDelay returns the pause after a failed renewal.
-func (d *driver) retryDelay() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.left {
-		return leftRetryDelay
-	}
-	return renewalRetryDelay
-}
-
 // idle reports whether the target has answered, has no runs and has no ends to be
 // acknowledged.
 func (d *driver) idle(runs int) bool {
@@ -128,6 +115,7 @@
 	d.removeOlder()
 	d.trackProgress(assignments, list)
 	d.clearSuspects(assignments)
+	d.stopUnfinished()
 	d.adjustPace(assignments, list)
 	return nil
 }
@@ -193,6 +181,9 @@
 	default:
 		renewal.Wait = min(renewal.Wait, d.renewalWait(time.Now()))
 	}
+	if !d.leavesAt.IsZero() {
+		renewal.Wait = min(renewal.Wait, d.drainWait(time.Now()))
+	}
 	d.mu.Unlock()
 	// Any renewal may arrive and extend the lease. A target that does not answer is
 	// therefore only asked for its listing: its renewals have no deadline.
@@ -241,15 +232,13 @@
 	if !d.leader.canSendOrders() {
 		return false
 	}
-	if errors.Is(err, ErrOtherIncarnation) && d.handleReplacement(err) {
-		return true
-	}
-	if d.endIfGone(err) {
+	observed := observationOf(err)
+	if observed.consequence() == consequenceEnd && d.handleReplacement(err) {
 		return true
 	}
 	d.mu.Lock()
 	d.countFailure(d.renewalEnd(err))
-	if errors.Is(err, ErrDown) {
+	if observed == observedRefusal {
 		d.recordRefusal()
 	}
 	down := d.down
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -82,8 +82,8 @@
 func (d *driver) handleReplacement(err error) bool {
 	// Only one process can have an address, so the process that had it before has
 	// ended.
-	if errors.Is(err, ErrOtherTarget) {
-		return d.leader.endIncarnations("another target has its address", true, d.target.ID) == nil
+	if observationOf(err) == observedOtherTarget {
+		return d.leader.endIncarnations(observedOtherTarget, true, d.target.ID) == nil
 	}
 	var restarted *RestartedError
 	if !errors.As(err, &restarted) || restarted.Incarnation < d.target.ID.Incarnation {
@@ -94,7 +94,7 @@
 			"uncertain": len(outliving),
 		}).WithError(err).Warn("target: an unknown lifetime answered")
 		return len(outliving) == 0 &&
-			d.leader.endIncarnations("another lifetime has its address", true, d.target.ID) == nil
+			d.leader.endIncarnations(observedOtherIncarnation, true, d.target.ID) == nil
 	}
 	next := d.target
 	next.ID.Incarnation = restarted.Incarnation
@@ -104,11 +104,11 @@
 // replaceByAnswer replaces the older incarnations of a target by one that has answered
 // an order. It may not have been announced yet.
 func (l *leader) replaceByAnswer(next graph.Target) *wire.Fault {
-	if fault := l.replaceAndDrive("another lifetime answered", next); fault != nil {
+	if fault := l.replaceAndDrive(next); fault != nil {
 		return fault
 	}
 	l.mu.Lock()
-	l.newestIncarnation[next.ID.ID] = max(l.newestIncarnation[next.ID.ID], next.ID.Incarnation)
+	l.currentIncarnations[next.ID.ID] = max(l.currentIncarnations[next.ID.ID], next.ID.Incarnation)
 	l.mu.Unlock()
 	return nil
 }
@@ -116,8 +116,8 @@
 // replaceAndDrive replaces the older incarnations of a target, and starts the driver of
 // the next one if runs of theirs are left. The next one may never get into the ledger, so
 // that nothing else would end these runs.
-func (l *leader) replaceAndDrive(why string, next graph.Target) *wire.Fault {
-	if fault := l.replaceOlder(why, next.ID); fault != nil {
+func (l *leader) replaceAndDrive(next graph.Target) *wire.Fault {
+	if fault := l.replaceOlder(next.ID); fault != nil {
 		return fault
 	}
 	if l.scheduler.ledger.RunCount(next.ID) > 0 {
@@ -129,7 +129,7 @@
 // replaceOlder commits that the given incarnation has replaced all older ones of the
 // target. The runs that it may have taken for them stay in the ledger, for the driver of
 // the given incarnation to adopt.
-func (l *leader) replaceOlder(why string, next graph.TargetID) *wire.Fault {
+func (l *leader) replaceOlder(next graph.TargetID) *wire.Fault {
 	older := l.scheduler.ledger.OlderIncarnations(next)
 	if len(older) == 0 {
 		return nil
@@ -143,7 +143,7 @@
 		outliving = l.endsOf(last, assignments)
 	}
 	if len(outliving) == 0 {
-		return l.endIncarnations(why, true, older...)
+		return l.endIncarnations(observedOtherIncarnation, true, older...)
 	}
 	if !l.claimReplacement(last) {
 		return nil
@@ -158,7 +158,7 @@
 		"target":    last.ID,
 		"born":      last.Incarnation,
 		"next":      next.Incarnation,
-		"why":       why,
+		"why":       observedOtherIncarnation.String(),
 		"over":      runNames(over),
 		"uncertain": runNames(outliving),
 	}).Info("target: lifetime replaced")
@@ -248,7 +248,7 @@
 	if len(over) == 0 {
 		return
 	}
-	if fault := d.leader.endIncarnations("its runs are over", false, over...); fault == nil {
+	if fault := d.leader.endIncarnations(observedNoRuns, false, over...); fault == nil {
 		d.log.WithField("born", d.target.ID.Incarnation).Info("target: holds no run of an older lifetime")
 	}
 }
--- a/internal/push/rpc.go
+++ b/internal/push/rpc.go
@@ -155,8 +155,8 @@
 
 // Leave ends an incarnation whose target has left.
 func (c *rpcService) Leave(args *graph.TargetID, reply *wire.Reply[Empty]) error {
-	return serveAsLeader(c.scheduler, reply, func(_ context.Context, l *leader) (Empty, *wire.Fault) {
-		return Empty{}, l.handleLeave(*args)
+	return serveAsLeader(c.scheduler, reply, func(ctx context.Context, l *leader) (Empty, *wire.Fault) {
+		return Empty{}, l.handleLeave(ctx, *args)
 	})
 }
 
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -98,6 +98,8 @@
 	startedAt time.Time
 	estimate  time.Duration
 	queue     string
+	// drained is true once the run is being stopped because its target leaves.
+	drained bool
 	// speculated is true once a second run of the task has been requested.
 	speculated bool
 }
@@ -176,7 +178,7 @@
 	unlistedAt := info.updateListed(listed)
 	info.confine(sent)
 	state, since := info.state, sent.Sub(info.changedAt)
-	wanted := assignment.Desired && !d.left
+	wanted := assignment.Desired && !d.left && !info.drained
 	d.mu.Unlock()
 	startable := wanted && (state != runUnknown || !d.leaves() && !d.isEvacuated())
 	switch {
--- a/internal/push/silent.go
+++ b/internal/push/silent.go
@@ -52,7 +52,7 @@
 	longest := d.longestLeaseExpiry()
 	d.mu.Unlock()
 	if len(outliving) == 0 || time.Now().After(longest) {
-		return d.leader.endIncarnations("lease over", down, d.target.ID) == nil
+		return d.leader.endIncarnations(observedLeaseEnd, down, d.target.ID) == nil
 	}
 	if d.keepOutliving(len(outliving)) {
 		d.log.WithFields(logrus.Fields{
--- a/internal/push/targets.go
+++ b/internal/push/targets.go
@@ -158,4 +158,7 @@
 	Clock    Clock
 	// Cold is how much longer the target will be slow after its start.
 	Cold time.Duration `cbor:",omitempty"`
+	// Remaining is how much longer a target that leaves stays at least, or zero if it has not
+	// said.
+	Remaining time.Duration `cbor:",omitempty"`
 }
--- a/internal/push/timing.go
+++ b/internal/push/timing.go
@@ -23,6 +23,8 @@
 	// StopSettleTime is how long after an order a run that ends because of it
 	// may be in neither list of the target, running or ended.
 	StopSettleTime time.Duration
+	// MaxStopTime is the longest time that a run takes to stop.
+	MaxStopTime time.Duration
 	// FreshRunTime is how long a run has to be listed before it is no longer suspected
 	// of a crash of its target.
 	FreshRunTime time.Duration
@@ -47,6 +49,7 @@
 		CallTimeout:     400 * time.Millisecond,
 		MaxHeartbeatAge: 4 * time.Second,
 		StopSettleTime:  1500 * time.Millisecond,
+		MaxStopTime:     500 * time.Millisecond,
 		EvacuateWithin:  5 * time.Second,
 		JobRetention:    180 * time.Second,
 
