--- a/internal/graph/command.go
+++ b/internal/graph/command.go
@@ -130,6 +130,19 @@
 	return a.Seq != 0 && a.Seq < other.Seq
 }
 
+// LacksPropertyOf reports whether the announcement leaves out a property that the other one of
+// the same target has. A target announces the same properties each time, so that such an
+// announcement is of another writer.
+func (a *Announcement) LacksPropertyOf(other *Announcement) bool {
+	return a.Domain == "" && other.Domain != "" ||
+		a.Machine == "" && other.Machine != "" ||
+		len(a.Labels) == 0 && len(other.Labels) > 0 ||
+		a.Capacity.CPU == 0 && other.Capacity.CPU != 0 ||
+		a.Capacity.Memory == 0 && other.Capacity.Memory != 0 ||
+		a.ID.Incarnation == 0 && other.ID.Incarnation != 0 ||
+		a.Seq == 0 && other.Seq != 0
+}
+
 // EndIncarnations removes targets. The proposer must be certain that nothing
 // runs on them any more.
 type EndIncarnations struct {
--- a/internal/graph/query.go
+++ b/internal/graph/query.go
@@ -145,6 +145,23 @@
 	return all
 }
 
+// CurrentTarget returns a copy of the newest known incarnation of the target, without its
+// runs.
+func (l *Ledger) CurrentTarget(id string) (Target, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	incarnations := l.incarnations[id]
+	if len(incarnations) == 0 {
+		return Target{}, false
+	}
+	current := *l.targets[TargetID{
+		ID:          id,
+		Incarnation: slices.Max(incarnations),
+	}]
+	current.Runs = nil
+	return current, true
+}
+
 // OlderIncarnations returns the known incarnations of the target that are older
 // than the given one.
 func (l *Ledger) OlderIncarnations(id TargetID) []TargetID {
--- a/internal/push/announce.go
+++ b/internal/push/announce.go
@@ -10,6 +10,11 @@
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
+// A heartbeat may come from another writer, or late from a process that is gone, and nothing
+// in it proves otherwise. What it says is taken over if it is of the incarnation that is
+// known, from the address that is known. If it names another incarnation or address, the
+// process at that address is asked first (verify.go).
+
 // handleHeartbeat processes a heartbeat. It returns without a fault only after
 // any change that the heartbeat announces is committed. One for a service that does not
 // exist comes from another writer and changes nothing. A target whose heartbeat
@@ -28,6 +33,9 @@
 		}).Info("target: ignored a heartbeat")
 		return nil
 	}
+	if verified, fault := l.verifySender(ctx, &h.Announce); fault != nil || !verified {
+		return fault
+	}
 	known, ok := l.scheduler.ledger.Target(id)
 	late := l.isLateHeartbeat(&h.Announce, known.Seq)
 	if late && !h.Announce.Leaving {
@@ -65,25 +73,25 @@
 // reasonToIgnore returns why an announcement changes nothing, whoever has sent it, or an empty
 // string.
 func (l *leader) reasonToIgnore(a *graph.Announcement) string {
+	known, found := l.scheduler.ledger.CurrentTarget(a.ID.ID)
 	switch {
 	case !l.scheduler.ledger.MayServe(a.ID.ID, a.Service):
 		return "unknown service"
-	case l.incarnationEnded(a.ID):
-		return "ended lifetime"
+	case l.hasLeft(a.ID):
+		return "the lifetime has left"
+	case found && a.ID.Incarnation < known.ID.Incarnation:
+		return "born earlier"
+	case found && a.LacksPropertyOf(&known.Announcement):
+		return "incomplete"
 	}
 	return ""
 }
 
-// incarnationEnded reports whether the incarnation has left or been replaced by a newer one.
-// Otherwise it records the incarnation as the newest of its target.
-func (l *leader) incarnationEnded(id graph.TargetID) bool {
+// hasLeft reports whether the incarnation has told this leader that it leaves.
+func (l *leader) hasLeft(id graph.TargetID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leftIncarnations[id] || l.currentIncarnations[id.ID] > id.Incarnation {
-		return true
-	}
-	l.currentIncarnations[id.ID] = id.Incarnation
-	return false
+	return l.leftIncarnations[id]
 }
 
 // announceOnce commits the announcement, unless another heartbeat has done so between
@@ -123,13 +131,8 @@
 		a.Machine == b.Machine && a.Domain == b.Domain && a.Rack == b.Rack && slices.Equal(a.Labels, b.Labels)
 }
 
-// announce commits the announcement, after replacing any older incarnations of the
-// target.
+// announce commits the announcement of an incarnation whose sender is verified.
 func (l *leader) announce(ctx context.Context, h *Heartbeat) *wire.Fault {
-	next := graph.Target{Announcement: h.Announce}
-	if fault := l.replaceAndDrive(next); fault != nil {
-		return fault
-	}
 	if _, fault := l.propose(ctx, graph.Command{Target: &h.Announce}); fault != nil {
 		return fault
 	}
@@ -152,3 +155,20 @@
 	incarnation, found := l.currentIncarnations[id]
 	return incarnation, found
 }
+
+// setCurrentIncarnation records which incarnation has the target's address, and removes the
+// drivers of the others. What these know of a process that is over says nothing of this one.
+func (l *leader) setCurrentIncarnation(id graph.TargetID) {
+	l.mu.Lock()
+	l.currentIncarnations[id.ID] = id.Incarnation
+	var others []graph.TargetID
+	for other := range l.drivers {
+		if other.ID == id.ID && other != id {
+			others = append(others, other)
+		}
+	}
+	l.mu.Unlock()
+	for _, other := range others {
+		l.removeDriver(other)
+	}
+}
--- a/internal/push/drivers.go
+++ b/internal/push/drivers.go
@@ -27,6 +27,19 @@
 	return l.drivers[id]
 }
 
+// driverOf returns the driver of the target, whichever incarnation it is for, or nil if there is
+// none.
+func (l *leader) driverOf(id string) *driver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for incarnation, d := range l.drivers {
+		if incarnation.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
 // allDrivers returns a snapshot of the drivers.
 func (l *leader) allDrivers() []*driver {
 	l.mu.Lock()
@@ -90,7 +103,7 @@
 		ended.Evidence, ended.Crashes = l.evidenceOf(crashes)
 	}
 	for _, id := range ids {
-		ids = append(ids, l.scheduler.ledger.OlderIncarnations(id)...)
+		ids = append(ids, l.olderIncarnations(id)...)
 	}
 	slices.SortFunc(ids, compareTargets)
 	ids = slices.Compact(ids)
@@ -118,6 +131,15 @@
 	return nil
 }
 
+// olderIncarnations returns the known older incarnations of the target, without the one that is
+// known to have its address: that one was born earlier, and started later.
+func (l *leader) olderIncarnations(id graph.TargetID) []graph.TargetID {
+	current, found := l.currentIncarnation(id.ID)
+	return slices.DeleteFunc(l.scheduler.ledger.OlderIncarnations(id), func(older graph.TargetID) bool {
+		return found && older.Incarnation == current
+	})
+}
+
 func compareTargets(a, b graph.TargetID) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
 }
--- a/internal/push/handover_test.go
+++ b/internal/push/handover_test.go
@@ -82,8 +82,6 @@
 	l := newLeader(s.scheduler, s.scheduler.currentLeader.Load().term+1)
 	current, _ := l.currentIncarnation("w0")
 	s.c.Check(current, qt.Equals, int64(2))
-	s.c.Check(l.incarnationEnded(graph.TargetID{
-		ID:          "w0",
-		Incarnation: 1,
-	}), qt.IsTrue)
+	older := defaultAnnouncement("w0", 1)
+	s.c.Check(l.needsVerification(&older), qt.IsTrue)
 }
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -106,8 +106,10 @@
 	// committed, that a later one of the target has replaced them.
 	replaced map[graph.TargetID]bool
 
-	// announcing has the incarnations whose announcement is being committed.
+	// announcing has the incarnations whose announcement is being committed, and verifying
+	// the targets of which a heartbeat is being verified.
 	announcing *flights[graph.TargetID]
+	verifying  *flights[string]
 
 	// configuring is a semaphore that is held while a configuration is being committed.
 	configuring chan struct{}
@@ -152,6 +154,7 @@
 		drivers:         map[graph.TargetID]*driver{},
 		heartbeatOrders: map[graph.TargetID]*heartbeatOrder{},
 		announcing:      newFlights[graph.TargetID](),
+		verifying:       newFlights[string](),
 		configuring:     make(chan struct{}, 1),
 		evacuating:      make(chan struct{}, 1),
 		replaced:        map[graph.TargetID]bool{},
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -32,6 +32,7 @@
 	outlivingRuns  prometheus.Counter
 	overdueOrders  prometheus.Counter
 	lateEnds       prometheus.Counter
+	verifications  *prometheus.CounterVec
 	placementLimit prometheus.Gauge
 	withheld       *prometheus.CounterVec
 	waiting        *prometheus.GaugeVec
@@ -58,6 +59,13 @@
 	decide         prometheus.Histogram
 }
 
+// Results of the verification of a heartbeat, as values of the metric label.
+const (
+	verificationConfirmed  = "confirmed"
+	verificationDisproved  = "disproved"
+	verificationUnanswered = "unanswered"
+)
+
 // histogram returns a histogram with buckets from 1 ms to about 8 s.
 func histogram(name, help string) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -114,6 +122,8 @@
 			"Runs kept beyond the lease of a silent target, as a later lifetime may hold them."),
 		overdueOrders: counter("jasmineward_orders_overdue_total",
 			"Orders that reached this relay after the leader had given them up."),
+		verifications: counterVec("jasmineward_heartbeats_verified_total",
+			"Heartbeats of an unknown incarnation or address of which the process there was asked, by what it said.", "result"),
 		lateEnds: counter("jasmineward_late_ends_total",
 			"Ends done of runs whose tasks had been put back."),
 		placementLimit: gauge("jasmineward_placement_limit", "Tasks that this leader's next decision may place, as commits take."),
@@ -155,7 +165,7 @@
 		m.waiting, m.putBehind, m.preempted, m.decide, m.placementLimit, m.commit, m.logSync,
 		m.advice, m.adviceWait, m.adviceBacklog, m.adviceAnswers, m.adviceAnswersUsed, m.adviceRecalled,
 		m.orders, m.routes, m.overdueOrders, m.withheld, m.evacuationMoves,
-		m.runsEnded, m.lateEnds, m.quarantines, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns,
+		m.runsEnded, m.lateEnds, m.verifications, m.quarantines, m.crashes, m.jobsGivenUp, m.adoptedRuns, m.outlivingRuns,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 }
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -77,40 +77,62 @@
 }
 
 // handleReplacement processes an answer of another incarnation or target to a renewal.
-// It returns false if the answer does not say which one, and the incarnation has runs
-// that the other may have taken: the target is then treated as one that does not answer.
+// It returns false if the incarnation has runs that the other one may have taken and will
+// not adopt: the target is then treated as one that does not answer.
 func (d *driver) handleReplacement(err error) bool {
-	// Only one process can have an address, so the process that had it before has
-	// ended.
 	if observationOf(err) == observedOtherTarget {
 		return d.leader.endIncarnations(observedOtherTarget, true, d.target.ID) == nil
 	}
+	next := d.target
+	// A relay of an earlier release does not say which incarnation has answered.
+	next.ID.Incarnation = 0
 	var restarted *RestartedError
-	if !errors.As(err, &restarted) || restarted.Incarnation < d.target.ID.Incarnation {
-		over, outliving := d.splitRuns(d.leader.scheduler.ledger.Assignments(d.target.ID))
-		d.log.WithFields(logrus.Fields{
-			"born":      d.target.ID.Incarnation,
-			"over":      len(over),
-			"uncertain": len(outliving),
-		}).WithError(err).Warn("target: an unknown lifetime answered")
-		return len(outliving) == 0 &&
-			d.leader.endIncarnations(observedOtherIncarnation, true, d.target.ID) == nil
+	if errors.As(err, &restarted) {
+		next.ID.Incarnation = restarted.Incarnation
 	}
-	next := d.target
-	next.ID.Incarnation = restarted.Incarnation
-	return d.leader.replaceByAnswer(next) == nil
+	return d.leader.replaceIncarnation(next) == nil
 }
 
-// replaceByAnswer replaces the older incarnations of a target by one that has answered
-// an order. It may not have been announced yet.
-func (l *leader) replaceByAnswer(next graph.Target) *wire.Fault {
-	if fault := l.replaceAndDrive(next); fault != nil {
-		return fault
+// replaceIncarnation commits that an incarnation, which has answered at its address, has
+// replaced the known ones of its target.
+func (l *leader) replaceIncarnation(next graph.Target) *wire.Fault {
+	known, found := l.scheduler.ledger.CurrentTarget(next.ID.ID)
+	identified := next.ID.Incarnation != 0
+	var fault *wire.Fault
+	switch {
+	case found && identified && known.ID == next.ID:
+		// It has replaced the others already.
+	case found && known.ID.Incarnation >= next.ID.Incarnation:
+		fault = l.replaceByEarlier(known, next.ID)
+	default:
+		fault = l.replaceAndDrive(next)
 	}
-	l.mu.Lock()
-	l.currentIncarnations[next.ID.ID] = max(l.currentIncarnations[next.ID.ID], next.ID.Incarnation)
-	l.mu.Unlock()
-	return nil
+	if fault == nil && identified {
+		l.setCurrentIncarnation(next.ID)
+	}
+	return fault
+}
+
+// replaceByEarlier commits that the known incarnation is over, which was born later than the one
+// that has replaced it, as the clock of its machine was set back. The ledger takes the one born
+// later for the newer one, so the other can't adopt runs. Those that it may have taken stay in
+// the ledger until the longest lease is over, and replaceByEarlier returns a fault until then.
+func (l *leader) replaceByEarlier(known graph.Target, next graph.TargetID) *wire.Fault {
+	// The driver may be of an incarnation that has never got into the ledger.
+	d := l.driverOf(known.ID.ID)
+	if d == nil {
+		d = l.ensureDriver(known)
+	}
+	if d == nil {
+		return wire.NewFault(wire.CodeNotLeader, "")
+	}
+	id := d.target.ID
+	over, outliving := d.splitRuns(l.scheduler.ledger.Assignments(id))
+	if len(outliving) == 0 {
+		return l.endIncarnations(observedOtherIncarnation, true, id)
+	}
+	l.logReplacement(id, next, over, outliving)
+	return wire.NewFault(wire.CodeBusy, "an earlier process of the target may have left runs")
 }
 
 // replaceAndDrive replaces the older incarnations of a target, and starts the driver of
@@ -149,19 +171,10 @@
 		return nil
 	}
 	if fault := l.commitReplacement(last, over); fault != nil {
-		l.mu.Lock()
-		delete(l.replaced, last)
-		l.mu.Unlock()
+		l.releaseReplacement(last)
 		return fault
 	}
-	l.log.WithFields(logrus.Fields{
-		"target":    last.ID,
-		"born":      last.Incarnation,
-		"next":      next.Incarnation,
-		"why":       observedOtherIncarnation.String(),
-		"over":      runNames(over),
-		"uncertain": runNames(outliving),
-	}).Info("target: lifetime replaced")
+	l.logReplacement(last, next, over, outliving)
 	l.scheduler.metrics.adoptedRuns.Add(float64(len(outliving)))
 	for _, id := range older {
 		l.removeDriver(id)
@@ -181,6 +194,25 @@
 	return true
 }
 
+// releaseReplacement undoes claimReplacement.
+func (l *leader) releaseReplacement(id graph.TargetID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.replaced, id)
+}
+
+// logReplacement logs that an incarnation is replaced while it has runs that may go on.
+func (l *leader) logReplacement(last, next graph.TargetID, over, outliving []graph.RunEnd) {
+	l.log.WithFields(logrus.Fields{
+		"target":    last.ID,
+		"born":      last.Incarnation,
+		"next":      next.Incarnation,
+		"why":       observedOtherIncarnation.String(),
+		"over":      runNames(over),
+		"uncertain": runNames(outliving),
+	}).Info("target: lifetime replaced")
+}
+
 // commitReplacement commits the crash of the replaced incarnation, and the ends of those
 // of its runs that are certain to be over with it.
 func (l *leader) commitReplacement(last graph.TargetID, over []graph.RunEnd) *wire.Fault {
--- a/internal/push/replace_test.go
+++ b/internal/push/replace_test.go
@@ -1,7 +1,6 @@
 package push
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -222,9 +221,7 @@
 	s.eventually(waitTimeout, "start is sent", func() bool { return s.sentRuns("a") == 1 })
 	s.startDefaultTarget("w1", 1)
 	l := s.scheduler.currentLeader.Load()
-	ctx, cancel := context.WithCancel(s.ctx())
-	cancel()
-	_ = l.announce(ctx, &Heartbeat{Announce: defaultAnnouncement("w0", 2)})
+	s.c.Assert(l.replaceIncarnation(graph.Target{Announcement: defaultAnnouncement("w0", 2)}) == nil, qt.IsTrue)
 	s.fleet.withLock(func() { s.fleet.targets["w0"].down = true })
 	s.eventually(waitTimeout, "run of the older process is over", func() bool { return s.sentRuns("a") == 2 })
 	s.waitCompleted("a")
