--- a/internal/push/announce.go
+++ b/internal/push/announce.go
@@ -79,8 +79,6 @@
 		return "unknown service"
 	case l.hasLeft(a.ID):
 		return "the lifetime has left"
-	case found && a.ID.Incarnation < known.ID.Incarnation:
-		return "born earlier"
 	case found && a.LacksPropertyOf(&known.Announcement):
 		return "incomplete"
 	}
--- a/internal/push/model_signs_test.go
+++ b/internal/push/model_signs_test.go
@@ -10,7 +10,7 @@
 
 // mislead shows the leader signs that have more than one explanation, until the time of troubles
 // is over: refused connections to a target at work, heartbeats of another writer, processes that
-// start again, and targets that leave behind any of these.
+// were born earlier than the one before, and targets that leave behind any of these.
 func (m *model) mislead(random *rand.Rand) {
 	until := time.Now().Add(modelTroubleTime)
 	for time.Now().Before(until) && m.pause(time.Duration(random.Int64N(int64(3*time.Second)))) {
@@ -25,11 +25,12 @@
 		case 1:
 			m.sendForeign(target, random)
 		case 2:
-			m.note("%s crashes, and is back after %s", target.id, span/4)
+			m.note("%s crashes, and is back after %s, born %s earlier", target.id, span/4, span)
 			m.set(func() { target.crash() })
 			m.pause(span / 4)
 			m.set(func() {
 				target.startLife()
+				target.born -= span.Milliseconds()
 			})
 		case 3:
 			m.drain(target, span, random.IntN(2) == 0)
--- a/internal/push/replace.go
+++ b/internal/push/replace.go
@@ -131,7 +131,13 @@
 	if len(outliving) == 0 {
 		return l.endIncarnations(observedOtherIncarnation, true, id)
 	}
-	l.logReplacement(id, next, over, outliving)
+	if l.claimReplacement(id) {
+		if fault := l.commitReplacement(id, over); fault != nil {
+			l.releaseReplacement(id)
+			return fault
+		}
+		l.logReplacement(id, next, over, outliving)
+	}
 	return wire.NewFault(wire.CodeBusy, "an earlier process of the target may have left runs")
 }
 
--- a/internal/push/verify_test.go
+++ b/internal/push/verify_test.go
@@ -79,7 +79,7 @@
 // A target that has started again must not wait for the lease of the process before it: its
 // address tells at once which process has it.
 func TestWorkOfRestartedTargetStartsAgainAtOnce(t *testing.T) {
-	for _, born := range []int64{6000} {
+	for _, born := range []int64{6000, 4000} {
 		timing := testTiming()
 		timing.TTL = 8 * time.Second
 		s := newFixtureWithTiming(t, timing, false)
@@ -112,3 +112,34 @@
 	known, _ := s.scheduler.ledger.CurrentTarget("w0")
 	s.c.Check(known.Address, qt.Equals, "w0")
 }
+
+// An incarnation that was born later than the one that replaced it may have left a start on its
+// way. The task must wait until no process can hold that run any more.
+func TestUncertainRunOfTargetBornLaterIsKept(t *testing.T) {
+	timing := testTiming()
+	timing.MaxLease = 2500 * time.Millisecond
+	timing.RenewalWait = time.Second
+	s := newFixtureWithTiming(t, timing, false)
+	s.startTarget(completeAnnouncement())
+	s.eventually(waitTimeout, "target may get work", func() bool {
+		d := s.scheduler.currentLeader.Load().driver(completeAnnouncement().ID)
+		return d != nil && d.usable(time.Now()) && d.idle(0)
+	})
+	s.fleet.withLock(func() {
+		s.fleet.maxLease = timing.MaxLease
+		s.fleet.runTime = time.Hour
+		s.fleet.targets["w0"].delayedStarts = startAttempts
+	})
+	s.submit("a", tasks(1))
+	s.eventually(waitTimeout, "start is sent", func() bool { return s.sentRuns("a") == 1 })
+	s.startDefaultTarget("w1", 1)
+	next := completeAnnouncement()
+	next.ID.Incarnation = 4000
+	s.startTarget(next)
+	s.eventually(2*timing.MaxLease, "task runs again", func() bool { return s.sentRuns("a") == 2 })
+	s.assertNoDoubleRuns()
+	s.eventually(waitTimeout, "target is used", func() bool {
+		known, found := s.scheduler.ledger.CurrentTarget("w0")
+		return found && known.ID == next.ID
+	})
+}
