--- a/internal/graph/assignment.go
+++ b/internal/graph/assignment.go
@@ -97,22 +97,6 @@
 	return task != nil && !step.LongRunning && task.State != TaskDone && run > 0 && run <= task.Run
 }
 
-// NextRun returns the number of the next run of a task, and whether the task waits for it
-// and can be placed by itself.
-func (l *Ledger) NextRun(ref TaskRef) (run uint32, waits bool) {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	job := l.liveJobs[ref.Job]
-	if job == nil {
-		return 0, false
-	}
-	task := job.Task(ref)
-	if task == nil || task.State != TaskWaiting || job.Spec.Steps[ref.Step].Gang {
-		return 0, false
-	}
-	return task.Run + 1, true
-}
-
 // RunMembers returns the tasks that run and end together with the task: those of its gang,
 // or the task alone.
 func (l *Ledger) RunMembers(ref TaskRef) []TaskRef {
@@ -122,15 +106,7 @@
 	if job == nil || job.Task(ref) == nil {
 		return nil
 	}
-	if !job.Spec.Steps[ref.Step].Gang {
-		return []TaskRef{ref}
-	}
-	members := make([]TaskRef, job.Spec.Steps[ref.Step].Count)
-	for i := range members {
-		members[i] = ref
-		members[i].Index = i
-	}
-	return members
+	return membersOf(job.StepOf(ref), ref)
 }
 
 // AssignmentOf returns the assignment for one run.
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -31,8 +31,11 @@
 	runs map[runKey]*runInfo
 	// ackedSeq is the highest end number that the target knows to be committed.
 	ackedSeq uint64
-	// committedSeq is the number of the last committed end.
-	committedSeq uint64
+	// committedSeq is the number up to which all ends are committed, and committedEnds has
+	// the numbers beyond it of those that are. openEnds is how many are not.
+	committedSeq  uint64
+	committedEnds map[uint64]bool
+	openEnds      int
 	// clock is a reading of the target's clock that was taken no later than
 	// clockAt.
 	clock   Clock
@@ -108,6 +111,8 @@
 		// An earlier leader's orders may have been on their way.
 		grantsArriveBy: l.started.Add(l.scheduler.timing.CallTimeout),
 
+		committedEnds: map[uint64]bool{},
+
 		inherited: map[runKey]bool{},
 		adopted:   map[runKey]bool{},
 	}
--- a/internal/push/ends.go
+++ b/internal/push/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 
@@ -11,44 +12,68 @@
 	"github.com/jasmineward/jasmineward/internal/wire"
 )
 
-// commitListedEnds commits those of the listed ends that are not yet committed.
-func (d *driver) commitListedEnds(ended []EndedRun) error {
-	d.mu.Lock()
-	committed := d.committedSeq
-	d.mu.Unlock()
-	last := committed
-	var ends []graph.RunEnd
-	for _, run := range ended {
-		if run.Seq <= committed {
-			continue
-		}
-		last = max(last, run.Seq)
-		end := d.endOf(keyOf(run.Task, run.Run), run.Outcome)
-		end.Checkpoint = run.Checkpoint
-		ends = append(ends, end)
-	}
-	if len(ends) == 0 {
-		return nil
-	}
-	current, late := d.takeLate(ends)
+// commitListedEnds commits those of the listed ends that are not yet committed. What is
+// committed is acknowledged with the next renewal, up to the first end that stays open.
+func (d *driver) commitListedEnds(listed []EndedRun) error {
+	ended := d.uncommittedEnds(listed)
+	current, late := d.takeLate(ended)
 	if len(current) > 0 {
-		if err := d.commitEnds(current); err != nil {
+		if err := d.commitEnds(d.endsOf(current)); err != nil {
 			return err
 		}
 	}
-	if err := d.settleLate(late); err != nil {
+	open, err := d.settleLate(late)
+	if err != nil {
 		d.log.WithError(err).Warn("target: late ends not settled")
 		return err
 	}
-	d.mu.Lock()
-	d.committedSeq = max(d.committedSeq, last)
-	for _, e := range ends {
-		delete(d.runs, keyOf(e.Task, e.Run))
+	if len(listed) >= maxListedEnds {
+		// The target lists no further ends before it may forget some.
+		open = nil
 	}
-	d.mu.Unlock()
+	d.recordCommitted(listed, open)
 	return nil
 }
 
+// uncommittedEnds returns those of the listed ends that are not yet committed.
+func (d *driver) uncommittedEnds(listed []EndedRun) []EndedRun {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(listed), func(end EndedRun) bool {
+		return end.Seq <= d.committedSeq || d.committedEnds[end.Seq]
+	})
+}
+
+// endsOf returns the ends of listed runs, for the ledger.
+func (d *driver) endsOf(ended []EndedRun) []graph.RunEnd {
+	ends := make([]graph.RunEnd, 0, len(ended))
+	for _, run := range ended {
+		end := d.endOf(keyOf(run.Task, run.Run), run.Outcome)
+		end.Checkpoint = run.Checkpoint
+		ends = append(ends, end)
+	}
+	return ends
+}
+
+// recordCommitted records that the listed ends are committed, except for the open ones.
+func (d *driver) recordCommitted(listed, open []EndedRun) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := d.committedSeq
+	for _, end := range listed {
+		last = max(last, end.Seq)
+		d.committedEnds[end.Seq] = true
+		delete(d.runs, keyOf(end.Task, end.Run))
+	}
+	for _, end := range open {
+		last = min(last, end.Seq-1)
+		delete(d.committedEnds, end.Seq)
+	}
+	d.openEnds = len(open)
+	d.committedSeq = max(d.committedSeq, last)
+	maps.DeleteFunc(d.committedEnds, func(seq uint64, _ bool) bool { return seq <= d.committedSeq })
+}
+
 // commitEnds commits the ends of runs.
 func (d *driver) commitEnds(ends []graph.RunEnd) error {
 	d.recordRestarts(ends)
--- a/internal/push/late.go
+++ b/internal/push/late.go
@@ -9,12 +9,13 @@
 )
 
 // A target that was cut off may list the end of a run that the ledger has put back meanwhile,
-// as the target's lease was over. If the run is done, its task must not be run again. The
-// commands end a task only through a run that is placed, so the task is placed on the target
-// that has done it, without a start, and ended there. Where that is refused, the leader keeps
-// in mind that the task is done: its next run is ended in place of being started, and a run
-// that is active already is stopped. A late end that is failed is not counted as an attempt:
-// an earlier leader may have counted it, and the ledger does not tell.
+// as the target's lease was over. If the run is done, its task must not be run again, nor the
+// gang of which it is a member: one end done is that of all. If they wait, they are completed
+// in the ledger at once. If they run elsewhere, or their client account is at its limit, the
+// end stays open: it is not acknowledged, so that the target lists it again, also to the next
+// leader, until the ledger has taken it over. Until then this leader ends their next run in
+// place of starting it, and stops an active one. A late end that is failed is not counted as
+// an attempt: an earlier leader may have counted it, and the ledger does not tell.
 
 // doneTasks is the set of tasks that are done by runs which the ledger has put back.
 type doneTasks struct {
@@ -41,8 +42,8 @@
 
 // takeLate separates the ends of runs that are done, and which the ledger does not have on
 // the target any more though their tasks are not over.
-func (d *driver) takeLate(ends []graph.RunEnd) (current, late []graph.RunEnd) {
-	for _, end := range ends {
+func (d *driver) takeLate(ended []EndedRun) (current, late []EndedRun) {
+	for _, end := range ended {
 		if end.Outcome == graph.OutcomeDone && d.leader.scheduler.ledger.WasPutBack(d.target.ID, end.Task, end.Run) {
 			late = append(late, end)
 		} else {
@@ -52,103 +53,59 @@
 	return current, late
 }
 
-// settleLate ends the tasks of late ends, at once or with their next runs.
-func (d *driver) settleLate(late []graph.RunEnd) error {
-	for len(late) > 0 {
-		settled, err := d.endThroughPlacement(late)
-		if err != nil {
-			return err
-		}
-		if len(settled) == 0 {
-			break
-		}
-		// The room and the spread that the settled ones took are free again.
-		late = slices.DeleteFunc(late, func(end graph.RunEnd) bool { return settled[end.Task] })
+// settleLate commits that the tasks of late ends are done, and has those of their runs
+// stopped that are active. It returns the ends that stay open.
+func (d *driver) settleLate(late []EndedRun) ([]EndedRun, error) {
+	if len(late) == 0 {
+		return nil, nil
 	}
-	d.rememberDone(late)
-	return nil
-}
-
-// endThroughPlacement places waiting tasks on the target under their next runs, and commits
-// the late ends for these. It returns the tasks for which that was not refused.
-func (d *driver) endThroughPlacement(late []graph.RunEnd) (map[graph.TaskRef]bool, error) {
-	place := &graph.Place{}
-	var ends []graph.RunEnd
+	news := slices.DeleteFunc(slices.Clone(late), func(end EndedRun) bool { return d.leader.doneTasks.has(end.Task) })
 	for _, end := range late {
-		run, waits := d.leader.scheduler.ledger.NextRun(end.Task)
-		if !waits || slices.ContainsFunc(ends, func(other graph.RunEnd) bool { return other.Task == end.Task }) {
-			continue
-		}
-		end.Target, end.Run = d.target.ID, run
-		ends = append(ends, end)
-		place.Groups = append(place.Groups, []graph.Placement{{
-			Task:   end.Task,
-			Run:    run,
-			Target: d.target.ID,
-		}})
-		// Nothing else must start the run.
-		d.setRunState(keyOf(end.Task, run), runAbsent)
-	}
-	if len(ends) == 0 {
-		return nil, nil
+		d.leader.doneTasks.add(d.leader.scheduler.ledger.RunMembers(end.Task)...)
 	}
-	result, fault := d.leader.propose(d.ctx, graph.Command{Place: place})
-	if fault != nil {
+	if fault := d.leader.completeTasks(tasksOf(late)); fault != nil {
 		return nil, fault
 	}
-	settled := map[graph.TaskRef]bool{}
-	var placed []graph.RunEnd
-	for i, end := range ends {
-		d.logLate(end, result.Groups[i])
-		if result.Groups[i] != "" {
-			d.forgetRun(keyOf(end.Task, end.Run))
-			continue
+	open := slices.DeleteFunc(slices.Clone(late), func(end EndedRun) bool {
+		return !d.leader.scheduler.ledger.WasPutBack(d.target.ID, end.Task, end.Run)
+	})
+	d.logLate(news, open)
+	d.leader.stopDone(tasksOf(open))
+	return open, nil
+}
+
+// stopDone stops the active runs of tasks that are done, and of their gangs.
+func (l *leader) stopDone(tasks []graph.TaskRef) {
+	var active []graph.TaskRef
+	for _, task := range tasks {
+		for _, member := range l.scheduler.ledger.RunMembers(task) {
+			state, target, run := l.scheduler.ledger.RunOf(member)
+			if state == graph.TaskPlaced && l.scheduler.ledger.AssignmentOf(target, member, run).Desired {
+				active = append(active, member)
+			}
 		}
-		placed = append(placed, end)
-		settled[end.Task] = true
 	}
-	if len(placed) == 0 {
-		return nil, nil
+	if len(active) > 0 {
+		l.commitEviction(active)
 	}
-	return settled, d.commitEnds(placed)
-}
-
-// forgetRun deletes the driver's state of a run.
-func (d *driver) forgetRun(key runKey) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.runs, key)
 }
 
-// logLate logs a late end. Without a refusal its task is over with it, and otherwise with
-// its next run.
-func (d *driver) logLate(end graph.RunEnd, refusal graph.Refusal) {
-	d.leader.scheduler.metrics.lateEnds.Inc()
-	d.log.WithFields(logrus.Fields{
-		"job":     end.Task.Job,
-		"task":    end.Task.RunName(end.Run),
-		"refusal": refusal,
-	}).Info("target: late end of a task that was put back")
+func tasksOf(ended []EndedRun) []graph.TaskRef {
+	tasks := make([]graph.TaskRef, 0, len(ended))
+	for _, end := range ended {
+		tasks = append(tasks, end.Task)
+	}
+	return tasks
 }
 
-// rememberDone keeps in mind that the tasks of late ends are done, and has those of their
-// runs stopped that are active elsewhere. One end of a gang is that of all its tasks.
-func (d *driver) rememberDone(late []graph.RunEnd) {
-	var stop []graph.TaskRef
+// logLate logs and counts late ends, of which some stay open.
+func (d *driver) logLate(late, open []EndedRun) {
 	for _, end := range late {
-		members := d.leader.scheduler.ledger.RunMembers(end.Task)
-		d.leader.doneTasks.add(members...)
-		stop = append(stop, members...)
-		if _, waits := d.leader.scheduler.ledger.NextRun(end.Task); !waits {
-			d.logLate(end, graph.RefusedRunActive)
-		}
-	}
-	if len(stop) == 0 {
-		return
-	}
-	if _, fault := d.leader.propose(d.ctx, graph.Command{Evict: &graph.Evict{Tasks: stop}}); fault != nil {
-		d.log.WithField("fault", fault.Error()).Warn("target: runs of done tasks not stopped")
-		return
+		d.leader.scheduler.metrics.lateEnds.Inc()
+		d.log.WithFields(logrus.Fields{
+			"job":  end.Task.Job,
+			"task": end.Task.RunName(end.Run),
+			"open": slices.Contains(open, end),
+		}).Info("target: late end of a task that was put back")
 	}
-	d.leader.stopUndesired()
 }
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -113,6 +113,8 @@
 
 	// configuring is a semaphore that is held while a configuration is being committed.
 	configuring chan struct{}
+	// completing is a semaphore that is held while tasks are being completed.
+	completing chan struct{}
 	// evacuating is a semaphore that is held while an evacuation or its withdrawal is
 	// being committed.
 	evacuating chan struct{}
@@ -156,6 +158,7 @@
 		announcing:      newFlights[graph.TargetID](),
 		verifying:       newFlights[string](),
 		configuring:     make(chan struct{}, 1),
+		completing:      make(chan struct{}, 1),
 		evacuating:      make(chan struct{}, 1),
 		replaced:        map[graph.TargetID]bool{},
 		ctx:             ctx,
@@ -186,6 +189,7 @@
 	targets := l.scheduler.ledger.Targets()
 	l.logEvacuations()
 	l.goroutines.Go(func() {
+		l.removeLeftPlaceholders()
 		l.relays.checkAll(initialRelayCheckTimeout)
 		for _, t := range targets {
 			// The target may have left or been replaced during the checks.
@@ -280,6 +284,7 @@
 // wait for each other for good.
 func (l *leader) cleanupLoop() {
 	for group.SleepContext(l.ctx, cleanupInterval) {
+		l.removeLeftPlaceholders()
 		l.advice.removeEndedJobs()
 		l.admissions.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) }, time.Now())
 		l.moves.forget(func(id graph.JobID) bool { return !l.scheduler.ledger.IsLive(id) })
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -15,6 +15,8 @@
 	renewalTimeoutMargin = 300 * time.Millisecond
 	// renewalRetryDelay is the pause after a failed renewal.
 	renewalRetryDelay = 60 * time.Millisecond
+	// openEndsInterval is the pause between two renewals while ends stay open.
+	openEndsInterval = 200 * time.Millisecond
 	// idleInterval is how often a target without runs is checked.
 	idleInterval = 10 * time.Second
 	// maxListedEnds is the maximum number of ends in one listing of a target.
@@ -51,25 +53,36 @@
 			}
 			continue
 		}
-		err := d.renewLease()
-		if err == nil {
-			continue
-		}
-		if d.handleRenewalFailure(err) {
-			return
+		pause := d.openEndsPause()
+		if err := d.renewLease(); err != nil {
+			if d.handleRenewalFailure(err) {
+				return
+			}
+			pause = renewalRetryDelay
 		}
-		if !group.SleepContext(d.ctx, renewalRetryDelay) {
+		if pause > 0 && !group.SleepContext(d.ctx, pause) {
 			return
 		}
 	}
 }
 
+// openEndsPause returns the pause between two renewals while ends stay open. The target lists
+// these at once, and does not wait for others.
+func (d *driver) openEndsPause() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.openEnds == 0 {
+		return 0
+	}
+	return openEndsInterval
+}
+
 // idle reports whether the target has answered, has no runs and has no ends to be
 // acknowledged.
 func (d *driver) idle(runs int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.contacted && runs == 0 && d.ackedSeq == d.committedSeq && d.failures == 0
+	return d.contacted && runs == 0 && d.ackedSeq == d.committedSeq && d.openEnds == 0 && d.failures == 0
 }
 
 // waitIdle waits until the driver is woken or the idle interval has passed.
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -260,6 +260,13 @@
 	return info
 }
 
+// forgetRun deletes the driver's state of a run.
+func (d *driver) forgetRun(key runKey) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.runs, key)
+}
+
 // removeFinishedRuns removes the state of runs that the ledger no longer has on
 // the target. Runs that have changed since the request was sent are kept.
 func (d *driver) removeFinishedRuns(assignments map[runKey]graph.Assignment, sent time.Time) {
