--- a/internal/push/dead_target_test.go
+++ b/internal/push/dead_target_test.go
@@ -13,18 +13,17 @@
 
 // startWideTarget starts a target that has room for 40 default tasks.
 func (s *fixture) startWideTarget(name string) {
-	s.startTarget(graph.Announcement{
-		ID: graph.TargetID{
-			ID:          name,
-			Incarnation: 1,
-		},
-		Service: "s",
-		Address: name,
-		Capacity: quota.Resources{
-			CPU:    40000,
-			Memory: 40000,
-		},
-	})
+	s.startTarget(wideAnnouncement(name))
+}
+
+// wideAnnouncement returns the announcement of a target that has room for 40 default tasks.
+func wideAnnouncement(name string) graph.Announcement {
+	a := defaultAnnouncement(name, 1)
+	a.Capacity = quota.Resources{
+		CPU:    40000,
+		Memory: 40000,
+	}
+	return a
 }
 
 // A long-running task must run elsewhere once the lease that its dead target was
--- a/internal/push/evacuate.go
+++ b/internal/push/evacuate.go
@@ -163,12 +163,20 @@
 	return d.leader.scheduler.ledger.IsTargetEvacuated(d.target.ID)
 }
 
-// mayStart reports whether a start of the run may be sent now.
-func (d *driver) mayStart(key runKey, desired bool) bool {
+// mayStart reports whether a start of the run may be sent now. Sent says whether an earlier one
+// may have reached the target: that one is repeated also if the target leaves meanwhile.
+func (d *driver) mayStart(key runKey, desired, sent bool) bool {
 	if !desired {
 		return false
 	}
-	if !d.isEvacuated() {
+	reason := ""
+	switch {
+	case d.isEvacuated():
+		reason = "evacuated"
+	case !sent && d.leaves():
+		reason = "target leaves"
+	}
+	if reason == "" {
 		return true
 	}
 	d.log.WithFields(logrus.Fields{
@@ -176,7 +184,8 @@
 		"task":   key.task.Name(),
 		"run":    key.run,
 		"domain": d.target.Domain,
-	}).Info("evacuation: run is not started")
+		"reason": reason,
+	}).Info("target: run is not started")
 	return false
 }
 
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -161,7 +161,7 @@
 	sent, arrived := false, false
 	for range startAttempts {
 		assignment := d.leader.scheduler.ledger.AssignmentOf(d.target.ID, key.task, key.run)
-		if !d.mayStart(key, assignment.Desired) {
+		if !d.mayStart(key, assignment.Desired, sent) {
 			break
 		}
 		if deadline == 0 {
