--- a/internal/push/drain.go
+++ b/internal/push/drain.go
@@ -61,6 +61,11 @@
 	return d.leavesAt.Add(-d.leader.scheduler.timing.MaxStopTime - drainMargin)
 }
 
+// endsSoon reports whether the run ends because its target leaves. The lock must be held.
+func (d *driver) endsSoon(info *runInfo) bool {
+	return d.left || info.drained
+}
+
 // stopUnfinished stops those runs of a target that leaves which will not be done before.
 func (d *driver) stopUnfinished() {
 	d.mu.Lock()
--- a/internal/push/renew.go
+++ b/internal/push/renew.go
@@ -53,12 +53,11 @@
 			}
 			continue
 		}
-		pause := d.openEndsPause()
-		if err := d.renewLease(); err != nil {
-			if d.handleRenewalFailure(err) {
-				return
-			}
-			pause = renewalRetryDelay
+		pause := renewalRetryDelay
+		if err := d.renewLease(); err == nil {
+			pause = d.openEndsPause()
+		} else if d.handleRenewalFailure(err) {
+			return
 		}
 		if pause > 0 && !group.SleepContext(d.ctx, pause) {
 			return
--- a/internal/push/runs.go
+++ b/internal/push/runs.go
@@ -178,7 +178,7 @@
 	unlistedAt := info.updateListed(listed)
 	info.confine(sent)
 	state, since := info.state, sent.Sub(info.changedAt)
-	wanted := assignment.Desired && !d.left && !info.drained
+	wanted := assignment.Desired && !d.endsSoon(info)
 	d.mu.Unlock()
 	startable := wanted && (state != runUnknown || !d.leaves() && !d.isEvacuated())
 	switch {
