Tell why an instance has no leader, and serve the metrics of the group first

Change: group: no leader (role, term, voters, what each address answered, refused votes), group: vote refused with its reason, gauges of term, indexes, vote and the leader's silence; the metrics of the group come first. A reason is logged once for a candidate and a term. No logic changed.

--- a/internal/group/host.go
+++ b/internal/group/host.go
@@ -75,6 +75,8 @@
 	raftServer *peer.RaftServer
 	router     *router
 	members    *MemberWatch
+	// leaderWatch tells why the instance has no leader.
+	leaderWatch *leaderWatch
 
 	mu        sync.Mutex
 	identity  Identity
@@ -118,6 +120,7 @@
 	}
 	h.raftServer = peer.NewRaftServer(h.cellName)
 	h.router = newRouter(h)
+	h.leaderWatch = newLeaderWatch(h)
 	if err := server.RegisterOrdered(peer.RaftService, h.raftServer); err != nil {
 		cancel()
 		return nil, err
@@ -142,6 +145,7 @@
 	}
 	h.server.Serve()
 	h.wg.Go(h.router.run)
+	h.wg.Go(h.leaderWatch.run)
 	if h.cfg.DataFolder != "" {
 		h.wg.Go(h.maintainMembership)
 		h.wg.Go(h.maintainVoters)
--- a/internal/group/replica.go
+++ b/internal/group/replica.go
@@ -126,6 +126,7 @@
 	options := []raft.ReplicaOption{
 		raft.WithClock(bootClock()),
 		raft.WithLostLeadHandler(h.reportLostLead),
+		raft.WithRefusedVoteHandler(h.leaderWatch.recordRefusal),
 		raft.WithSnapshotInterval(snapshotInterval),
 		raft.WithTrailingEntries(trailingEntries),
 	}
--- a/internal/group/search.go
+++ b/internal/group/search.go
@@ -55,11 +55,13 @@
 	reply, err := peer.CallHedged[wire.Reply[wire.HelloReply]](ctx, r.Pair(address), methodHello, r.helloArgs(), hedgeHello)
 	if err != nil {
 		r.host.log.WithError(err).WithField("peer", address).Debug("router: peer did not answer")
+		r.host.leaderWatch.recordAnswer(address, answerNone)
 		return peerReply{address: address}
 	}
 	r.mu.Lock()
 	r.repliedAt = time.Now()
 	r.mu.Unlock()
+	r.host.leaderWatch.recordAnswer(address, describeHello(&reply.Value))
 	return peerReply{
 		address: address,
 		hello:   &reply.Value,
--- a/internal/push/metrics.go
+++ b/internal/push/metrics.go
@@ -99,7 +99,7 @@
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
-		leading:  gauge("jasmineward_leading", "1 while this instance leads."),
+		leading:  gauge(metricLeading, "1 while this instance leads."),
 		submits: counterVec("jasmineward_submits_total",
 			"Submits decided by this leader, by refusal; empty is admitted.", "refusal"),
 		overload: counterVec("jasmineward_overload_refusals_total",
@@ -211,7 +211,7 @@
 
 // Metrics returns a handler that serves the instance's metrics.
 func (s *Scheduler) Metrics() http.Handler {
-	return meter.NewHandler(s.metrics.registry)
+	return meter.NewHandler(s.metrics.registry, meter.WithFirst(groupMetrics...))
 }
 
 // addLedgerGauges registers gauges whose values are read from the ledger.
--- a/internal/push/scheduler.go
+++ b/internal/push/scheduler.go
@@ -79,10 +79,7 @@
 	s.cell = hostedCell{host}
 	s.AddGauge("jasmineward_job_bytes", "Estimated memory that the jobs in the ledger take.",
 		func() float64 { total, _ := s.ledger.Stored(""); return float64(total) })
-	s.AddGauge("jasmineward_voters", "Voters of the group; zero on an instance that does not lead.",
-		func() float64 { all, _ := host.Voters(); return float64(all) })
-	s.AddGauge("jasmineward_voters_silent", "Voters that have not replied to this leader for a second.",
-		func() float64 { _, silent := host.Voters(); return float64(silent) })
+	s.addGroupGauges(host)
 	s.metrics.addCounter("jasmineward_raft_resent_total", "Messages of the log sent again as a connection was overdue.",
 		func() float64 { return float64(host.ResentMessages()) })
 	if err := host.Server().RegisterConcurrent(rpcServiceName, &rpcService{scheduler: s}); err != nil {
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -185,6 +185,7 @@
 	early []Message
 
 	lostLeads    []LostLead
+	refusedVotes []RefusedVote
 	pendingReads []pendingRead
 	readyReads   []ReadState
 	failedReads  []uint64
@@ -297,6 +298,7 @@
 		return
 	case MessageVote:
 		if m.Term > c.term && c.inLeaderLease() && !m.Transfer {
+			c.recordRefusal(m, RefusalLeaderAlive)
 			return
 		}
 	case MessagePreVoteReply:
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -66,7 +66,11 @@
 }
 
 func (c *Core) onPreVote(m Message) {
-	grant := m.Term > c.term && c.upToDate(m) && !c.inLeaderLease()
+	refusal := c.refusalOfPreVote(m)
+	grant := refusal == ""
+	if !grant {
+		c.recordRefusal(m, refusal)
+	}
 	reply := Message{
 		Kind:   MessagePreVoteReply,
 		To:     m.From,
@@ -97,11 +101,13 @@
 }
 
 func (c *Core) onVote(m Message) {
-	canVote := c.vote == 0 || c.vote == m.From
-	grant := m.Term == c.term && canVote && c.upToDate(m)
+	refusal := c.refusalOfVote(m)
+	grant := refusal == ""
 	if grant {
 		c.vote = m.From
 		c.resetElectionDeadline()
+	} else {
+		c.recordRefusal(m, refusal)
 	}
 	c.sendAfterSync(Message{
 		Kind:   MessageVoteReply,
--- a/pkg/raft/replica.go
+++ b/pkg/raft/replica.go
@@ -76,6 +76,7 @@
 	trailingEntries  uint64
 	maxLogBytes      int
 	onLostLead       func(LostLead)
+	onRefusedVote    func(RefusedVote)
 
 	mu        sync.Mutex
 	inbox     []Message
@@ -155,6 +156,12 @@
 	return func(r *Replica) { r.onLostLead = handle }
 }
 
+// WithRefusedVoteHandler sets a function that is called whenever the replica has refused a
+// vote. It must not block.
+func WithRefusedVoteHandler(handle func(RefusedVote)) ReplicaOption {
+	return func(r *Replica) { r.onRefusedVote = handle }
+}
+
 // newMonotonicClock returns a monotonic clock that starts at zero.
 func newMonotonicClock() func() time.Duration {
 	started := time.Now()
@@ -189,6 +196,7 @@
 		machine:          machine,
 		now:              newMonotonicClock(),
 		onLostLead:       func(LostLead) {},
+		onRefusedVote:    func(RefusedVote) {},
 		snapshotInterval: defaultSnapshotInterval,
 		trailingEntries:  defaultTrailingEntries,
 		maxLogBytes:      noByteLimit,
--- a/pkg/raft/run_loop.go
+++ b/pkg/raft/run_loop.go
@@ -121,6 +121,9 @@
 		for _, lost := range r.core.TakeLostLeads() {
 			r.onLostLead(lost)
 		}
+		for _, refused := range r.core.TakeRefusedVotes() {
+			r.onRefusedVote(refused)
+		}
 		ready := r.core.Ready()
 		r.send(ready.MessagesBeforeSync)
 		if ready.HardStateChanged || len(ready.Entries) > 0 {
