Promote no learner on which the quorum would stand at once

A learner was also promoted while a voter did not respond but was not due to be replaced: to reach the wanted number of voters, or to spread them over failure domains. Of four voters the silent one is one, and the new one is needed from its first moment on. Evidence: TestNoLearnerIsPromotedBesideSilentVoter failed for both reasons (promoted n4 to voter, with a voter silent for 1.5 s). Why this works: a learner is promoted only if the voters that respond are a quorum without it. A group of one voter has no other way to a second one and is excepted. A silent voter becomes due after half of the time to catch up and is then removed first. Measured: the test passes.

--- a/internal/group/voters.go
+++ b/internal/group/voters.go
@@ -56,14 +56,15 @@
 	voters := len(p.Status.Membership.Voters())
 	learner, hasLearner := p.bestLearner()
 	unresponsive, hasUnresponsive := p.unresponsiveVoter()
+	mayPromote := hasLearner && p.keepsQuorumWithoutNewVoter()
 	switch {
 	case hasUnresponsive && (hasLearner || voters > p.VoterCount):
 		return p.Status.Membership.Without(unresponsive.ID), "removed unresponsive voter " + unresponsive.Name
-	case voters < p.VoterCount && hasLearner:
+	case voters < p.VoterCount && mayPromote:
 		return p.promote(learner)
 	case voters > p.VoterCount && p.allVotersReply():
 		return p.demoteVoter()
-	case voters == p.VoterCount && hasLearner && p.improvesSpread(learner):
+	case voters == p.VoterCount && mayPromote && p.improvesSpread(learner):
 		return p.promote(learner)
 	}
 	if lost, ok := p.lostLearner(); ok {
@@ -72,6 +73,23 @@
 	return raft.Membership{}, ""
 }
 
+// keepsQuorumWithoutNewVoter reports whether the voters that respond would still be a
+// quorum if a learner were made a voter and lost right after that. A single voter can't
+// get a second one otherwise.
+func (p VoterPlan) keepsQuorumWithoutNewVoter() bool {
+	voters, responsive := 0, 0
+	for _, member := range p.Status.Membership.Members {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if p.silenceOf(member) < responsiveWithin {
+			responsive++
+		}
+	}
+	return voters == 1 || responsive > (voters+1)/2
+}
+
 func (p VoterPlan) promote(learner raft.Member) (raft.Membership, string) {
 	learner.Voter = true
 	return p.Status.Membership.With(learner), "promoted " + learner.Name + " to voter"
--- a/internal/group/voters_test.go
+++ b/internal/group/voters_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,3 +60,53 @@
 	_, change = plan.NextChange()
 	c.Check(change, qt.Equals, "removed unresponsive learner n4")
 }
+
+// A voter that does not respond stays until that is due. A learner that becomes a voter
+// meanwhile makes four voters of which three are needed, and is lost itself before it has
+// caught up for long.
+func TestNoLearnerIsPromotedBesideSilentVoter(t *testing.T) {
+	plan := func(silence time.Duration, members ...raft.Member) VoterPlan {
+		return VoterPlan{
+			Status: raft.Status{
+				ID:         1,
+				Membership: raft.Membership{Members: members},
+			},
+			SinceLastReply: map[raft.ID]time.Duration{
+				2: 0,
+				3: silence,
+				4: 0,
+			},
+			VoterCount:   5,
+			ReplaceAfter: 2 * time.Second,
+			Leading:      time.Minute,
+			CaughtUp:     func(raft.ID) bool { return true },
+		}
+	}
+	member := func(id raft.ID, domain string, voter bool) raft.Member {
+		return raft.Member{
+			ID:     id,
+			Name:   "n" + string(rune('0'+id)),
+			Domain: domain,
+			Voter:  voter,
+		}
+	}
+	spread := []raft.Member{member(1, "d1", true), member(2, "d1", true), member(3, "d2", true), member(4, "d3", false)}
+	for _, voterCount := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d voters wanted", voterCount), func(t *testing.T) {
+			c := qt.New(t)
+			p := plan(1500*time.Millisecond, spread...)
+			p.VoterCount = voterCount
+			_, change := p.NextChange()
+			c.Check(change, qt.Equals, "")
+			p.SinceLastReply[3] = 0
+			_, change = p.NextChange()
+			c.Check(change, qt.Equals, "promoted n4 to voter")
+			p.SinceLastReply[3] = 2 * time.Second
+			_, change = p.NextChange()
+			c.Check(change, qt.Equals, "removed unresponsive voter n3")
+		})
+	}
+	c := qt.New(t)
+	_, change := plan(0, member(1, "d1", true), member(4, "d3", false)).NextChange()
+	c.Check(change, qt.Equals, "promoted n4 to voter")
+}
