Ask the members in the own log for the leader after a restart

What callers would see: an instance that was started again answers 503 or 504 to each call that another has to decide, although the group has a leader, until that changes. After a restart an instance asks for the leader only at the seeds of its settings, although its own log names the members. If all seeds have been replaced, it takes part in the group but finds no leader; only an election tells it one. Why this works: the members of the log are asked like the seeds, and whom they name is asked itself before it is followed, as before. Entries keep no log and still depend on the seeds of their settings.

--- a/internal/group/router_test.go
+++ b/internal/group/router_test.go
@@ -157,3 +157,25 @@
 	}
 	c.Check(claimed <= 3, qt.IsTrue, qt.Commentf("%d searches", claimed))
 }
+
+// An instance that is started again asks the seeds of its settings for the leader. They may
+// all be gone by then, while the members that its own log names are there.
+func TestRestartedReplicaFindsLeaderWithoutSeeds(t *testing.T) {
+	g := newTestGroup(t, 3, 1)
+	for _, m := range g.members {
+		g.start(m)
+	}
+	g.eventually("four voters", func() bool { return g.voters() == 4 })
+	restarted := g.members[0]
+	if g.leader() == restarted {
+		restarted = g.members[1]
+	}
+	restarted.stop()
+	g.propose("meanwhile")
+	restarted.cfg.Seeds = []string{local.UnusedAddress()}
+	g.start(restarted)
+
+	g.eventually("the restarted instance knows the leader", func() bool {
+		return restarted.host.IsLeaderReachable(leaderTimeout)
+	})
+}
--- a/internal/group/search.go
+++ b/internal/group/search.go
@@ -69,7 +69,8 @@
 }
 
 // knownAddresses returns the addresses of all other instances that may know the
-// leader: the members of the group and the seeds.
+// leader: the members of the group, as peers and the own log name them, and the seeds.
+// After a restart only the log names members, and all seeds may have been replaced.
 func (r *router) knownAddresses() []string {
 	seen := map[string]bool{r.host.cfg.Address: true}
 	var all []string
@@ -82,6 +83,9 @@
 	for _, member := range r.Membership().Members {
 		add(member.Address)
 	}
+	for _, member := range r.host.Peers() {
+		add(member.Address)
+	}
 	for _, seed := range r.host.cfg.Seeds {
 		add(seed)
 	}
