--- a/internal/push/admit.go
+++ b/internal/push/admit.go
@@ -170,12 +170,10 @@
 	}
 	// The queues that a configuration removes are found in the one before it, so one is
 	// committed after the other.
-	select {
-	case l.configuring <- struct{}{}:
-	case <-ctx.Done():
+	if !l.configuring.acquire(ctx) {
 		return wire.NewFault(wire.CodeUnavailable, "another configuration is being committed")
 	}
-	defer func() { <-l.configuring }()
+	defer l.configuring.release()
 	if current := l.scheduler.ledger.Config(); current != nil && current.Version >= c.Version {
 		l.log.WithFields(logrus.Fields{
 			"version":  c.Version,
--- a/internal/push/complete.go
+++ b/internal/push/complete.go
@@ -10,12 +10,10 @@
 // completeTasks commits that those of the tasks are done that wait for a run, with their
 // gangs. The others stay as they are.
 func (l *leader) completeTasks(tasks []graph.TaskRef) *wire.Fault {
-	select {
-	case l.completing <- struct{}{}:
-	case <-l.ctx.Done():
+	if !l.completing.acquire(l.ctx) {
 		return wire.NewFault(wire.CodeNotLeader, "")
 	}
-	defer func() { <-l.completing }()
+	defer l.completing.release()
 	if fault := l.removePlaceholders(); fault != nil {
 		return fault
 	}
@@ -96,12 +94,10 @@
 // removeLeftPlaceholders removes the placeholders that an earlier call or leader has left
 // behind, unless a call is in progress.
 func (l *leader) removeLeftPlaceholders() {
-	select {
-	case l.completing <- struct{}{}:
-	default:
+	if !l.completing.tryAcquire() {
 		return
 	}
-	defer func() { <-l.completing }()
+	defer l.completing.release()
 	if fault := l.removePlaceholders(); fault != nil {
 		l.log.WithField("fault", fault.Error()).Warn("sched: placeholders not removed")
 	}
--- a/internal/push/driver.go
+++ b/internal/push/driver.go
@@ -21,8 +21,8 @@
 	target graph.Target
 	log    *logrus.Entry
 	wake   chan struct{}
-	// startSlots is a semaphore that bounds the starts in flight.
-	startSlots chan struct{}
+	// startSlots bounds the starts in flight.
+	startSlots semaphore
 	ctx        context.Context
 	cancel     context.CancelFunc
 	created    time.Time
@@ -101,7 +101,7 @@
 			"target": t.ID.ID,
 		}),
 		wake:        make(chan struct{}, 1),
-		startSlots:  make(chan struct{}, maxConcurrentStarts),
+		startSlots:  newSemaphore(maxConcurrentStarts),
 		ctx:         ctx,
 		cancel:      cancel,
 		created:     time.Now(),
--- a/internal/push/evacuate.go
+++ b/internal/push/evacuate.go
@@ -87,12 +87,10 @@
 		return EvacuateReply{}, wire.NewFault(wire.CodeNotFound, fmt.Sprintf("failure domain %q is unknown", args.Domain))
 	}
 	// No other change is committed between the check of the number and the commit.
-	select {
-	case l.evacuating <- struct{}{}:
-	case <-ctx.Done():
+	if !l.evacuating.acquire(ctx) {
 		return EvacuateReply{}, wire.NewFault(wire.CodeUnavailable, "another evacuation is being committed")
 	}
-	defer func() { <-l.evacuating }()
+	defer l.evacuating.release()
 	_, changes := l.scheduler.ledger.Evacuations()
 	again := l.scheduler.ledger.IsEvacuated(args.Domain) != args.Withdrawn
 	if !again && args.Changes != changes {
--- a/internal/push/leader.go
+++ b/internal/push/leader.go
@@ -111,13 +111,12 @@
 	announcing *flights[graph.TargetID]
 	verifying  *flights[string]
 
-	// configuring is a semaphore that is held while a configuration is being committed.
-	configuring chan struct{}
-	// completing is a semaphore that is held while tasks are being completed.
-	completing chan struct{}
-	// evacuating is a semaphore that is held while an evacuation or its withdrawal is
-	// being committed.
-	evacuating chan struct{}
+	// configuring is held while a configuration is being committed.
+	configuring semaphore
+	// completing is held while tasks are being completed.
+	completing semaphore
+	// evacuating is held while an evacuation or its withdrawal is being committed.
+	evacuating semaphore
 
 	fenced     atomic.Bool
 	ctx        context.Context
@@ -157,9 +156,9 @@
 		heartbeatOrders: map[graph.TargetID]*heartbeatOrder{},
 		announcing:      newFlights[graph.TargetID](),
 		verifying:       newFlights[string](),
-		configuring:     make(chan struct{}, 1),
-		completing:      make(chan struct{}, 1),
-		evacuating:      make(chan struct{}, 1),
+		configuring:     newSemaphore(1),
+		completing:      newSemaphore(1),
+		evacuating:      newSemaphore(1),
 		replaced:        map[graph.TargetID]bool{},
 		ctx:             ctx,
 		cancel:          cancel,
--- a/internal/push/orders.go
+++ b/internal/push/orders.go
@@ -41,11 +41,11 @@
 	d.wakeUp()
 	sendBy := time.Now().Add(maxStartDelay)
 	d.leader.goroutines.Go(func() {
-		if !d.acquireStartSlot() {
+		if !d.startSlots.acquire(d.ctx) {
 			return
 		}
 		state := d.sendStart(key, ticket, sendBy)
-		d.releaseStartSlot()
+		d.startSlots.release()
 		d.setRunState(key, state)
 		if state == runStarted {
 			d.recordStart(key)
@@ -57,21 +57,6 @@
 	})
 }
 
-// acquireStartSlot waits for a free start slot. It returns false if the driver
-// stops first.
-func (d *driver) acquireStartSlot() bool {
-	select {
-	case d.startSlots <- struct{}{}:
-		return true
-	case <-d.ctx.Done():
-		return false
-	}
-}
-
-func (d *driver) releaseStartSlot() {
-	<-d.startSlots
-}
-
 // recordStart records that a run has started. Without a checkpoint its progress
 // is known to be zero, which serves as its first progress report.
 func (d *driver) recordStart(key runKey) {
